First version: queues, share lottery, bounded slots and feedback on the wire

The answer now comes first; a key's rest after a doubtful hand-off is kept by key, since a second look at the line forgot it.

--- /dev/null
+++ b/corkgauge/__init__.py
@@ -0,0 +1,1 @@
+"""A workload manager before analytic engines."""
--- /dev/null
+++ b/corkgauge/control.py
@@ -0,0 +1,537 @@
+"""All decisions of the gateway.
+
+A host builds one `Gateway`, hands itself over, and calls one method for each thing that happens: those
+without an underscore. The gateway acts by calling the host back; `interface.py` holds the host protocol,
+the outcome names and the records. Times are whole tenths of a millisecond.
+
+The ordinary path (docs/design.md): a submission joins the queue of its tenant and offering; a lottery by
+share releases it into a bounded slot of an engine, in its table group's hashed order; every 2 s a feedback
+step moves the shares towards equal weighted badness. What follows a comment that starts with "Danger" is
+an exception, and acts only on the symptom named there.
+"""
+
+from collections import deque
+from statistics import fmean, median
+from struct import pack
+from zlib import crc32
+
+from corkgauge.interface import (CALLED_OFF, ERROR, FULL, HONOURED, LABELLED, NEVER_RAN, PROGRESS, READY,
+                                 REDOABLE, RESET, TIMED_OUT, UNREACHED, Engine, HandOff, Host, Offering,
+                                 Submission)
+
+SECOND = 10_000
+PERIOD = 2 * SECOND     # of the feedback
+SIGMA = 0.05            # most that a share moves in a period
+INTERVALS = 5           # that the linear model sees
+FLOOR = 0.1             # least share, of an equal share
+THREADS_PER_CORE = 1.5  # of all gateways together, where the bound starts
+STEP = 0.1              # of the bound
+LEAST_BOUND = 0.5       # how far refusals push the bound below its start
+PRESSED = 2.0           # latency this many times its best means pressure
+WAIT_PART = 0.1         # of a submission's life that it waits in its queue at most
+NEAR = 3                # engines of the hashed order that are looked at first
+LAST = 8                # samples kept for an engine
+LAST_ANSWERS = 48       # and for an offering
+REST = SECOND           # of an engine that did badly once; doubles with each further time
+COLD_SAFETY = 0.7       # of its part of the cold budget that a gateway uses
+OWN_EXTRA = 10, 0.5, 5 * SECOND  # budget for further hand-offs where none is stated
+
+
+class Queue:
+    """The submissions of one tenant and offering that wait for a slot."""
+
+    def __init__(self, offering: Offering) -> None:
+        self.offering = offering
+        self.waiting: deque[Submission] = deque()
+        self.share = 0.0
+        self.badness: list[float] = []                      # latency over promised time, this interval
+        self.model: deque[tuple[float, float]] = deque(maxlen=INTERVALS)   # share, p
+
+
+class View:
+    """The last few things seen of one engine."""
+
+    def __init__(self) -> None:
+        self.slowness: deque[float] = deque(maxlen=LAST)    # time taken over the time of the work alone
+        self.faults: deque[bool] = deque(maxlen=LAST)
+        self.heard = -1                                     # when it last gave a sign of its own
+        self.rests_until = -1
+        self.refused_until = -1
+        self.bound = 1.0
+        self.spent: deque[tuple[int, float]] = deque()      # when, and usual work sent
+
+    def slow(self, otherwise: float) -> float:
+        return median(self.slowness) if len(self.slowness) >= 3 else otherwise
+
+    def trusted(self) -> bool:
+        return sum(self.faults) < 2 and not (self.faults and self.faults[-1])
+
+
+class Gateway:
+    """One workload manager's decisions."""
+
+    def __init__(self, host: Host, *, seed: int, number: int, gateways: int, tick: int,
+                 offerings: list[Offering], cores: list[float], memory: list[float], most_grant: float,
+                 priorities: bool, cancels: bool, copies: bool, most_handoffs: int, bills: bool,
+                 come_back: int, cold_share: float, cold_span: int, fall_multiple: float, fall_span: int,
+                 extra_floor: float, extra_share: float, extra_span: int, settle: int) -> None:
+        self.host, self.seed, self.drawn = host, seed, 0
+        self.cores = cores
+        self.grants = [most_grant * m for m in memory]
+        self.priorities, self.cancels, self.copies = priorities, cancels, copies
+        self.most_handoffs, self.bills, self.come_back = most_handoffs, bills, come_back
+        self.margin = 2 * tick + 10                 # an ending decided this long before expiry is in time
+        self.slots = THREADS_PER_CORE / gateways    # threads a core, where the bound starts
+        # A core's worth of work that this gateway may send in a span to an engine that has just started.
+        self.cold_part = COLD_SAFETY * 0.85 * fall_multiple * cold_share * fall_span / gateways
+        self.cold_share, self.cold_span, self.fall_span = cold_share, cold_span, fall_span
+        self.extra = (extra_floor, extra_share, extra_span) if extra_span else OWN_EXTRA
+        self.settle = settle
+        self.born = host.now
+        self.engines: list[Engine] = []
+        self.orders: dict[float, list[Engine]] = {}
+        self.queues: dict[tuple[int, Offering], Queue] = {}
+        self.lines: dict[int, deque[Submission]] = {}       # by key, in the order taken
+        self.rests: dict[int, int] = {}                     # by key: a hand-off may still run until then
+        self.taken: deque[int] = deque()
+        self.extras: deque[int] = deque()
+        self.best = float("inf")
+        for offering in offerings:
+            offering.samples = deque(maxlen=LAST_ANSWERS)   # work, memory: true over estimate; true work
+        host.wake(PERIOD, self.interval_over)
+
+    # What can happen.
+
+    def engine_told(self, engine: Engine, state: int, weight: float, started: int) -> None:
+        """The list names an engine; a drain or departure holds from this moment."""
+        if engine.view is None or started > engine.started:
+            spent = engine.view.spent if engine.view else deque()
+            engine.view = View()
+            engine.view.spent = spent
+        if engine.state != READY and state == READY:
+            engine.view.rests_until = -1
+        engine.state, engine.weight, engine.started = state, weight, started
+        if engine not in self.engines:
+            self.engines.append(engine)
+
+    def list_told(self) -> None:
+        """The list has been told in full."""
+        self.engines = [e for e in self.engines if e.state == READY]
+        self.orders.clear()
+        self._pump()
+
+    def submission_taken(self, sub: Submission) -> None:
+        """A client's submission; from now on one final answer is owed."""
+        now, offering = self.host.now, sub.offering
+        self.taken.append(now)
+        queue = self.queues.get((sub.tenant, offering))
+        if queue is None:
+            queue = self.queues[sub.tenant, offering] = Queue(offering)
+            self._share_equally()
+        sub.queue = queue
+        sub.work = self._expected_work(sub)
+        sub.aim = offering.aim + offering.stretch * sub.work / offering.threads
+        if sub.life <= self.margin:
+            return self._end(sub)
+        self.host.wake(sub.life - self.margin, self.expiry_near, sub)
+        if offering.ordered and sub.key:
+            self.lines.setdefault(sub.key, deque()).append(sub)
+            self.turn(sub.key)
+        else:
+            self._join(sub)
+
+    def submission_left(self, sub: Submission) -> None:
+        """The client has gone; nothing more is owed."""
+        if not sub.over:
+            self._close(sub, sub.life)
+            self._pump()
+
+    def expiry_near(self, sub: Submission) -> None:
+        """The last moment for a final answer."""
+        if not sub.over:
+            self._end(sub)
+            self._pump()
+
+    def wait_over(self, sub: Submission, joined: int) -> None:
+        """A submission has waited its part: it goes now, beyond the bound if need be, or is dismissed."""
+        if not sub.queued or sub.over or sub.work < 0 or joined != len(sub.handoffs):
+            return
+        engine = self._choose(sub, patient=False)
+        if engine:
+            self._release(sub, engine)
+        elif any(h.out for h in sub.handoffs):
+            self._unqueue(sub)          # a second copy that found no place; the first still runs
+        else:
+            self._end(sub)
+        self._pump()
+
+    def handoff_over(self, handoff: HandOff, outcome: int, took: int, finished: bool, work: int, need: float,
+                     inflight: float, util: float) -> None:
+        """A hand-off has its outcome; the first answer has gone to the client by itself."""
+        sub, engine = handoff.submission, handoff.engine
+        handoff.out, handoff.outcome = False, outcome
+        engine.threads -= sub.offering.threads
+        self._learn(handoff, took, work, need)
+        if not sub.over:
+            if finished or outcome == HONOURED:
+                self._close(sub, took + handoff.sent - sub.taken)
+            elif not any(h.out for h in sub.handoffs) and not sub.queued:
+                if self._may_again(sub):
+                    self._join(sub, first=True)
+                else:
+                    self._end(sub)
+        self.turn(sub.key)
+        self._pump()
+
+    def handoff_progress(self, handoff: HandOff, sort: int, value: float) -> None:
+        """A note from the engine on a hand-off that is out."""
+        sub, view, now = handoff.submission, handoff.engine.view, self.host.now
+        view.heard = now
+        if sort != PROGRESS or value <= 0 or sub.over or not handoff.out:
+            return
+        # Danger: a bad plan, or an engine far slower than the others, holds its threads for many times the
+        # work. Also covers a crowded engine. May hurt when estimates are far too low: hence the factor.
+        left = (now - handoff.sent) * (1 - value) / value
+        if self.cancels and left > 3 * self._time_of(sub, handoff.engine):
+            self._rescue(handoff)
+
+    def patience_over(self, handoff: HandOff) -> None:
+        """A hand-off has been out for half its promised time."""
+        view = handoff.engine.view
+        # Danger: an engine that takes work and answers nothing. Any sign since the hand-off clears it.
+        if handoff.out and not handoff.submission.over and view.heard < handoff.sent:
+            self._fault(handoff.engine, "silent")
+            self._rescue(handoff)
+            self._pump()
+
+    def probe_answered(self, engine: Engine, outcome: int, took: int, inflight: float, util: float) -> None:
+        """The answer to a probe; none is sent so far."""
+
+    def interval_over(self) -> None:
+        """Feedback: shares move a bounded step towards equal weighted badness."""
+        self.host.wake(PERIOD, self.interval_over)
+        moving = []
+        for queue in self.queues.values():
+            if queue.badness:
+                late = sorted(queue.badness)
+                queue.model.append((queue.share, 1 / max(late[int(0.99 * len(late))], 1e-3)))
+                queue.badness = []
+                moving.append(queue)
+        if len(moving) > 1:
+            self._equalise(moving)
+
+    def rest_over(self) -> None:
+        """An engine has rested, or a key or a cold budget has."""
+        self._pump()
+
+    # Shares and the lottery.
+
+    def _share_equally(self) -> None:
+        for queue in self.queues.values():
+            queue.share = 1 / len(self.queues)
+
+    def _equalise(self, moving: list[Queue]) -> None:
+        """Find the level of weighted badness that all can meet, each within one step."""
+        lines = []
+        for queue in moving:
+            share, p = queue.model[-1]
+            mean_a, mean_p = fmean(a for a, _ in queue.model), fmean(q for _, q in queue.model)
+            spread = sum((a - mean_a) ** 2 for a, _ in queue.model)
+            rise = sum((a - mean_a) * (q - mean_p) for a, q in queue.model)
+            slope = max(rise / spread if spread > 1e-9 else 0.0, 1.0)
+            lines.append((queue, share, p, slope, queue.offering.worth))
+        total = sum(queue.share for queue in moving)
+
+        def at(level: float) -> list[float]:
+            return [min(max(a + (1 - level / w - p) / s, a - SIGMA), a + SIGMA) for _, a, p, s, w in lines]
+
+        low, high = -1e4, 1e4
+        for _ in range(60):
+            middle = (low + high) / 2
+            low, high = (middle, high) if sum(at(middle)) > total else (low, middle)
+        floor = FLOOR / len(self.queues)
+        for (queue, *_), share in zip(lines, at(high)):
+            queue.share = max(share, floor)
+        whole = sum(queue.share for queue in self.queues.values())
+        for queue in self.queues.values():
+            queue.share /= whole
+
+    def _draw(self, queues: list[Queue]) -> Queue:
+        self.drawn += 1
+        ticket = crc32(pack("<QQ", self.seed, self.drawn)) / 2 ** 32 * sum(q.share for q in queues)
+        for queue in queues:
+            ticket -= queue.share
+            if ticket < 0:
+                return queue
+        return queues[-1]
+
+    def _pump(self) -> None:
+        """Fill free slots by lottery among the queues that can use one."""
+        able = [q for q in self.queues.values() if q.waiting]
+        while able:
+            queue = self._draw(able)
+            for sub in list(queue.waiting)[:LAST]:
+                engine = self._choose(sub, patient=True)
+                if engine:
+                    self._release(sub, engine)
+                    break
+                if not sub.handoffs:    # those behind it have no more choice than this one
+                    able.remove(queue)
+                    break
+            else:
+                able.remove(queue)
+            if queue in able and not queue.waiting:
+                able.remove(queue)
+
+    def _join(self, sub: Submission, first: bool = False) -> None:
+        sub.queued = True
+        (sub.queue.waiting.appendleft if first else sub.queue.waiting.append)(sub)
+        self.host.wake(int(sub.life * WAIT_PART), self.wait_over, sub, len(sub.handoffs))
+        if not first:
+            self._pump()
+
+    def _unqueue(self, sub: Submission) -> None:
+        if sub.queued:
+            sub.queued = False
+            sub.queue.waiting.remove(sub)
+
+    # Engines.
+
+    def _order(self, tables: float) -> list[Engine]:
+        """All engines, in the order hashed from the table group: alike at every gateway."""
+        order = self.orders.get(tables)
+        if order is None:
+            mark = b"%d:" % int(tables)
+            order = self.orders[tables] = sorted(self.engines, key=lambda e: (crc32(mark + e.mark), e.mark))
+        return order
+
+    def _choose(self, sub: Submission, patient: bool) -> Engine | None:
+        """The engine for the next hand-off; None while all that it may use are full."""
+        if sub.handoffs and not (self._may_again(sub) and self._extra_left()):
+            return None
+        may = [e for e in self._order(sub.tables) if self._may(sub, e)]
+        # Danger: engines that fail, are silent or refuse. Never all of them at once: when none does well,
+        # the trouble is likely not theirs, and all are used.
+        well = [e for e in may if self._well(e)] or may
+        tried = [h.engine for h in sub.handoffs]
+        well = [e for e in well if e not in tried] or well
+        usual = self._usual_slowness()
+        free = [e for e in well[:NEAR] if not self._full(e, sub.offering, usual)]
+        free = free or [e for e in well[NEAR:] if not self._full(e, sub.offering, usual)][:NEAR]
+        if not free and not patient:
+            free = [e for e in well if e.threads + sub.offering.threads <= 2 * self._slots_of(e)]
+        return min(free, key=lambda e: self._crowd(e, sub.offering, usual), default=None)
+
+    def _may(self, sub: Submission, engine: Engine) -> bool:
+        """The rules on where a submission may go."""
+        offering = sub.offering
+        if engine.state != READY or (offering.halls and engine.hall not in offering.halls) or (
+                offering.kinds and engine.kind not in offering.kinds):
+            return False
+        first = next((h for h in sub.handoffs if h.outcome not in NEVER_RAN), None)
+        if first is not None and offering.repeat == LABELLED and (
+                (offering.group == "zone" and engine.hall != first.engine.hall) or
+                (offering.group == "cell" and engine.cell != first.engine.cell)):
+            return False
+        return not self._cold(engine) or self._cold_left(engine) >= self._usual_work(offering)
+
+    def _cold(self, engine: Engine) -> bool:
+        return bool(engine.started) and self.host.now < engine.started + self.cold_span
+
+    def _cold_left(self, engine: Engine) -> float:
+        """Work that this gateway may still send to a cold engine in the present span."""
+        now, spent = self.host.now, engine.view.spent
+        # Danger: a gateway that restarts does not know what it sent before.
+        if now < self.born + self.fall_span:
+            return 0.0
+        while spent and spent[0][0] <= now - self.fall_span:
+            spent.popleft()
+        return self.cold_part * self._cores(engine) - sum(work for _, work in spent)
+
+    def _cores(self, engine: Engine) -> float:
+        return self.cores[engine.kind] if engine.kind < len(self.cores) else 1.0
+
+    def _slots_of(self, engine: Engine) -> float:
+        return self.slots * self._cores(engine) * engine.view.bound
+
+    def _well(self, engine: Engine) -> bool:
+        view = engine.view
+        return self.host.now >= view.rests_until and (view.trusted() or engine.threads == 0)
+
+    def _pressed(self, engine: Engine, usual: float) -> bool:
+        return self.host.now < engine.view.refused_until or engine.view.slow(usual) > PRESSED * self.best
+
+    def _full(self, engine: Engine, offering: Offering, usual: float) -> bool:
+        """The bound acts under pressure only; an engine that holds nothing of ours takes one."""
+        return engine.threads > 0 and engine.threads + offering.threads > self._slots_of(engine) and (
+            self._pressed(engine, usual))
+
+    def _crowd(self, engine: Engine, offering: Offering, usual: float) -> float:
+        """This gateway's threads a core, were it sent there; a slower engine has fewer cores in effect."""
+        pace = max(1.0, engine.view.slow(usual) / usual)
+        if self._cold(engine):
+            pace = max(pace, 1 / self.cold_share)
+        return (engine.threads + offering.threads) / self._cores(engine) * pace
+
+    def _usual_slowness(self) -> float:
+        seen = [e.view.slow(0) for e in self.engines if len(e.view.slowness) >= 3]
+        return median(seen) if seen else 1.5
+
+    def _fault(self, engine: Engine, why: str) -> None:
+        """An engine did badly: it rests, twice as long each time among its last few."""
+        view = engine.view
+        view.faults.append(True)
+        if self.host.now >= view.rests_until:
+            rest = REST * 2 ** min(sum(view.faults) - 1, 4)
+            view.rests_until = self.host.now + rest
+            self.host.wake(rest, self.rest_over)
+            self.host.log(f"rest {engine.mark.hex()} {why} faults={sum(view.faults)} for={rest}")
+
+    # Hand-offs.
+
+    def _release(self, sub: Submission, engine: Engine) -> None:
+        """Hand a submission off, with its memory and its priority."""
+        now, offering = self.host.now, sub.offering
+        self._unqueue(sub)
+        if sub.handoffs:
+            self.extras.append(now)
+        if self.priorities or self.grants:
+            fair = 1 / len(self.queues)
+            grant = self._grant(sub, engine)
+            self.host.set_terms(sub, grant, 3 if sub.queue.share >= fair * 0.999 else 2)
+        handoff = HandOff(sub, engine, len(sub.handoffs), now)
+        sub.handoffs.append(handoff)
+        engine.threads += offering.threads
+        engine.view.spent.append((now, self._usual_work(offering)))
+        while engine.view.spent[0][0] <= now - self.fall_span:
+            engine.view.spent.popleft()
+        self.host.hand_off(handoff, max(1, sub.taken + sub.life - now - self.margin // 2))
+        patience = max(0.5 * sub.aim, 2 * self._time_of(sub, engine))
+        self.host.wake(int(patience), self.patience_over, handoff)
+
+    def _grant(self, sub: Submission, engine: Engine) -> float:
+        """Memory as estimated, corrected by what answers told; 0 leaves it to the engine."""
+        ratios = sorted(need for _, need, _ in sub.offering.samples if need)
+        if not self.grants or not sub.memory or len(ratios) < LAST:
+            return 0.0
+        return min(sub.memory * ratios[int(0.8 * len(ratios))] * 1.05, self.grants[engine.kind])
+
+    def _rescue(self, handoff: HandOff) -> None:
+        """Try a hand-off that does badly elsewhere: called off first, or a second copy."""
+        sub = handoff.submission
+        if handoff.called_off or sub.queued or not (self._may_again(sub) and self._extra_left()):
+            return
+        if self.cancels:
+            handoff.called_off = True
+            self.host.call_off(handoff)
+        elif self.copies and sum(h.out for h in sub.handoffs) < 2:
+            self._join(sub, first=True)
+
+    def _may_again(self, sub: Submission) -> bool:
+        """The rule on effects: may there be another hand-off, whatever the budget says?"""
+        if len(sub.handoffs) >= self.most_handoffs:
+            return False
+        ran = [h for h in sub.handoffs if h.outcome not in NEVER_RAN]
+        if not ran or sub.offering.repeat == REDOABLE:
+            return True
+        return sub.offering.repeat == LABELLED and (
+            self.host.now < ran[0].sent + sub.offering.remembered - self.margin)
+
+    def _extra_left(self) -> bool:
+        """The budget of further hand-offs; where none is stated, one of our own against retry storms."""
+        floor, part, span = self.extra
+        since = self.host.now - span
+        while self.taken and self.taken[0] <= since:
+            self.taken.popleft()
+        while self.extras and self.extras[0] <= since:
+            self.extras.popleft()
+        return len(self.extras) + 1 <= floor + part * len(self.taken)
+
+    # Endings.
+
+    def _end(self, sub: Submission) -> None:
+        """The gateway gives a submission up: the answer goes at once."""
+        harmless = sub.offering.repeat == REDOABLE or all(h.outcome in NEVER_RAN for h in sub.handoffs) or (
+            sub.offering.repeat == LABELLED and sub.offering.group == "all")
+        # Danger: closing lets the next of its key go, so the answer comes first.
+        if harmless:
+            self.host.dismiss(sub, self.come_back)
+        else:
+            self.host.scrap(sub)
+        self._close(sub, sub.life)
+
+    def _close(self, sub: Submission, latency: int) -> None:
+        """A submission is over, however it ended; the starved ones count as badness too."""
+        self._unqueue(sub)
+        sub.over = True
+        sub.queue.badness.append(latency / max(sub.aim, 1))
+        if self.cancels:
+            for handoff in sub.handoffs:
+                if handoff.out and not handoff.called_off:
+                    handoff.called_off = True
+                    self.host.call_off(handoff)
+        self.turn(sub.key)
+
+    def turn(self, key: int) -> None:
+        """Let the next of a key go, once all before it are over and their hand-offs have outcomes."""
+        line, now = self.lines.get(key), self.host.now
+        while line and line[0].over and not any(h.out for h in line[0].handoffs):
+            if any(h.outcome in (TIMED_OUT, RESET, CALLED_OFF) for h in line.popleft().handoffs):
+                self.rests[key] = now + self.settle
+        if line and not (line[0].over or line[0].queued or line[0].handoffs):
+            if self.rests.get(key, now) > now:
+                self.host.wake(self.rests[key] - now, self.turn, key)
+            else:
+                self.rests.pop(key, None)
+                self._join(line[0])
+        elif line is not None and not line:
+            del self.lines[key]
+
+    # Measurements.
+
+    def _learn(self, handoff: HandOff, took: int, work: int, need: float) -> None:
+        sub, engine, now, outcome = handoff.submission, handoff.engine, self.host.now, handoff.outcome
+        view, offering = engine.view, sub.offering
+        if handoff.sent < engine.started:
+            return      # it speaks of the engine before its restart
+        if outcome == HONOURED:
+            view.heard = now
+            if not view.trusted():
+                self.host.log(f"back {engine.mark.hex()} faults={sum(view.faults)}")
+            view.faults.append(False)
+            if work:
+                offering.samples.append((work / sub.estimate if sub.estimate else 0.0,
+                                         need / sub.memory if sub.memory else 0.0, work))
+            else:
+                offering.samples.append((0.0, 0.0, sub.work))
+            view.slowness.append(took / max((work or sub.work) / offering.threads, 1))
+            if len(view.slowness) >= 3:
+                self.best = min(self.best, max(1.0, view.slow(1.0)))
+            if took <= sub.aim:
+                view.bound = min(2.0, view.bound + STEP / 4)
+            return
+        if outcome == FULL:
+            view.heard = now
+            view.refused_until = now + SECOND
+        elif outcome in (ERROR, UNREACHED, RESET):
+            self._fault(engine, ("error", "", "", "", "unreached", "reset")[outcome])
+        if outcome in (FULL, TIMED_OUT):
+            view.bound = max(LEAST_BOUND, view.bound - STEP)
+
+    def _expected_work(self, sub: Submission) -> float:
+        """The work of a submission: its estimate, corrected by what this offering's answers told."""
+        if not sub.estimate:
+            return self._usual_work(sub.offering)
+        ratios = [ratio for ratio, _, _ in sub.offering.samples if ratio]
+        return sub.estimate * (median(ratios) if len(ratios) >= LAST else 1.0)
+
+    def _usual_work(self, offering: Offering) -> float:
+        """The usual work of an offering, on the high side while little is known."""
+        works = [work for _, _, work in offering.samples]
+        if len(works) < LAST:
+            return max([2.0 * offering.aim * offering.threads, *works])
+        return fmean(works) * 1.2
+
+    def _time_of(self, sub: Submission, engine: Engine) -> float:
+        """What a hand-off should take, at the pace that engines keep at present."""
+        return sub.work / sub.offering.threads * self._usual_slowness()
--- /dev/null
+++ b/corkgauge/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The drill ground: the gateway's decisions on the simulator's wire."""
--- /dev/null
+++ b/corkgauge/interface.py
@@ -0,0 +1,103 @@
+"""What the decisions and their surroundings say to each other: the host protocol, outcomes, plain records.
+
+Times are whole tenths of a millisecond. Records point to each other; ids stay with the host (`tag`).
+The host calls the methods of `control.Gateway` that carry no underscore; the gateway calls `Host`.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+# How a hand-off ended. FULL, UNREACHED and MOOT prove that it never ran.
+ERROR, HONOURED, FULL, TIMED_OUT, UNREACHED, RESET, CALLED_OFF, MOOT = range(8)
+NEVER_RAN = (FULL, UNREACHED, MOOT)
+# States of an engine.
+GONE, READY, DRAINING = range(3)
+# What a note from an engine tells.
+PROGRESS, SPILLS, LINES_UP = 1, 2, 3
+# What a repeat does.
+REDOABLE, LABELLED, IRREVERSIBLE = range(3)
+
+
+@dataclass(eq=False, slots=True)
+class Offering:
+    """A kind of work, with what its customers were promised."""
+
+    name: str
+    aim: int                    # the promised time before the stretch
+    stretch: float              # the promised time grows by this times the work of one thread
+    expiry: int
+    worth: float                # earnings of one answer in time
+    repeat: int = REDOABLE
+    group: str = "all"          # labelled: which engines know its repeats: all, zone, cell
+    remembered: int = 0         # labelled: how long they do
+    ordered: bool = False
+    halls: tuple[int, ...] = ()   # the only ones it may use; none: any
+    kinds: tuple[int, ...] = ()
+    threads: int = 1
+    samples: Any = None         # the gateway's last few answers
+
+
+@dataclass(eq=False, slots=True)
+class Engine:
+    """An engine as the list last told it, and what this gateway has seen of it."""
+
+    tag: Any
+    mark: bytes                 # alike at all gateways; only for the hashed order
+    hall: int
+    kind: int
+    cell: int
+    state: int = GONE
+    weight: float = 1.0
+    started: int = 0
+    threads: int = 0            # threads of this gateway's hand-offs out there
+    view: Any = None            # the gateway's last few measurements
+
+
+@dataclass(eq=False, slots=True)
+class Submission:
+    """What a client asked for; the gateway owes it one final answer."""
+
+    tag: Any
+    offering: Offering
+    tenant: int
+    tables: float
+    taken: int
+    life: int                   # time until its client gives up
+    estimate: int = 0           # of the whole work; 0: none
+    memory: float = 0.0         # estimated MB; 0: none
+    key: int = 0
+    over: bool = False
+    queued: bool = False
+    work: float = 0.0
+    aim: float = 0.0
+    queue: Any = None
+    handoffs: list["HandOff"] = field(default_factory=list)
+
+
+@dataclass(eq=False, slots=True)
+class HandOff:
+    """One try of a submission at an engine."""
+
+    submission: Submission
+    engine: Engine
+    number: int
+    sent: int
+    out: bool = True
+    called_off: bool = False
+    outcome: int = -1
+
+
+class Host(Protocol):
+    """What the gateway may do. It is handed over at start."""
+
+    now: int
+
+    def hand_off(self, handoff: HandOff, allow: int) -> None: ...
+    def set_terms(self, submission: Submission, memory: float, priority: int) -> None: ...
+    def dismiss(self, submission: Submission, come_back: int) -> None: ...
+    def scrap(self, submission: Submission) -> None: ...
+    def call_off(self, handoff: HandOff) -> None: ...
+    def probe(self, engine: Engine) -> None: ...
+    def wake(self, delay: int, method: Callable[..., None], *what: Any) -> None: ...
+    def log(self, line: str) -> None: ...
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,178 @@
+"""The ordinary path: lottery, bound, hashed order, feedback, and the exceptions for sick engines."""
+
+import subprocess
+import sys
+
+import pytest
+
+from corkgauge.control import FLOOR, SIGMA
+from corkgauge.interface import ERROR, FULL, HONOURED, PROGRESS, RESET, TIMED_OUT
+from tests.yard import QUICK, SECOND, Yard
+
+HEAVY = {**QUICK, "name": "heavy", "worth": 6.0, "threads": 4}
+
+
+@pytest.mark.parametrize("shares", [(0.5, 0.5), (0.75, 0.25), (0.9, 0.1)])
+def test_lottery_follows_shares(shares):
+    yard = Yard([QUICK, HEAVY])
+    yard.take(), yard.take(1)
+    queues = list(yard.gateway.queues.values())
+    for queue, share in zip(queues, shares):
+        queue.share = share
+    drawn = sum(yard.gateway._draw(queues) is queues[0] for _ in range(4000)) / 4000
+    assert abs(drawn - shares[0]) < 0.03
+
+
+def test_tables_have_a_home_alike_at_all_gateways():
+    homes = [[s.handoffs[0].engine.tag for s in [yard.take(tables=t) for t in range(12)]]
+             for yard in (Yard(seed=1, engines=8), Yard(seed=2, engines=8))]
+    assert homes[0] == homes[1] and len(set(homes[0])) > 2
+
+
+def test_the_bound_binds_under_pressure_only():
+    yard = Yard(engines=1)
+    subs = [yard.take() for _ in range(40)]
+    assert all(s.handoffs for s in subs)
+    yard.over(subs[0].handoffs[0], FULL)
+    late = yard.take()
+    assert not late.handoffs
+    for sub in subs[1:]:
+        yard.over(sub.handoffs[0], took=2000)
+    assert late.handoffs        # an idle gateway may send one, and slots are filled as they come free
+
+
+@pytest.mark.parametrize("bad", [0, 1])
+def test_feedback_moves_share_to_the_worse_within_a_step(bad):
+    yard = Yard([QUICK, {**QUICK, "name": "other"}])
+    subs = [yard.take(0), yard.take(1)]
+    for n, sub in enumerate(subs):
+        yard.over(sub.handoffs[0], took=4 * SECOND if n == bad else 2000)
+    yard.pass_time(2 * SECOND)
+    shares = [q.share for q in yard.gateway.queues.values()]
+    assert abs(sum(shares) - 1) < 1e-9 and min(shares) >= FLOOR / 2 * 0.99
+    assert 0.5 < shares[bad] <= 0.5 + SIGMA + 1e-6
+
+
+def test_a_starved_queue_looks_bad():
+    yard = Yard([QUICK, HEAVY], engines=0)
+    yard.take(1)
+    yard.pass_time(int(1.5 * SECOND))
+    assert yard.said("dismiss")
+    assert max(next(q for q in yard.gateway.queues.values()).badness) > 1
+
+
+@pytest.mark.parametrize("outcomes, rests", [([ERROR], True), ([RESET], True), ([HONOURED], False)])
+def test_a_faulty_engine_rests(outcomes, rests):
+    yard = Yard()
+    sub = yard.take()
+    home = sub.handoffs[0].engine
+    for outcome in outcomes:
+        yard.over(sub.handoffs[0], outcome)
+    other = yard.take()
+    assert (other.handoffs[0].engine is not home) == rests
+    yard.over(other.handoffs[0], took=2000)
+    yard.pass_time(int(1.1 * SECOND))
+    assert yard.take().handoffs[0].engine is home
+
+
+def test_all_engines_faulty_are_all_used():
+    yard = Yard()
+    for _ in range(12):
+        for handoff in yard.take().handoffs:
+            yard.over(handoff, ERROR)
+    assert yard.take().handoffs
+
+
+@pytest.mark.parametrize("cancels, copies, heard, rescued", [
+    (True, False, False, "call_off"), (False, True, False, "copy"), (True, False, True, None),
+    (False, False, False, None)])
+def test_a_silent_engine(cancels, copies, heard, rescued):
+    yard = Yard(cancels=cancels, copies=copies)
+    sub = yard.take()
+    yard.pass_time(SECOND // 10)
+    if heard:
+        yard.gateway.handoff_progress(sub.handoffs[0], PROGRESS, 0.9)
+    yard.pass_time(SECOND)
+    assert bool(yard.said("call_off")) == (rescued == "call_off")
+    assert (len(sub.handoffs) == 2) == (rescued == "copy")
+
+
+def test_a_bad_plan_is_called_off():
+    yard = Yard(cancels=True)
+    sub = yard.take()
+    yard.now += 4000
+    yard.gateway.handoff_progress(sub.handoffs[0], PROGRESS, 0.02)
+    assert yard.said("call_off") == [(sub.tag, 0)]
+
+
+EVENTS = r"""
+import io, sys
+from struct import pack
+from corkgauge.drill.__main__ import Ground
+boot = (b'{"profiles":[{"name":"a","objectiveUs":1000000,"deadlineUs":5000000}],"instances":2,'
+        b'"extra":{"coresByKind":[8],"takesPriority":true},"limits":{"mostTries":4}}')
+def frame(n, records):
+    body = b"".join(records)
+    return pack("<IQII", 16 + len(body), 10**7 + n * 5000, len(records), n) + body
+tags = [bytes([10, 0, 0, n, 1, 2]) for n in range(4)]
+census = pack("<BHI", 120, 0, 4) + b"".join(pack("<6sHHHBfQ", t, 0, 0, 0, 1, 1.0, 0) for t in tags)
+chosen = [int(i) for i in sys.argv[1].split(",")]
+def born(i): return pack("<BIQI", 10, i, 40 + i, len(boot)) + boot
+def update(i): return pack("<BIBIH", 20, i, 0, 1, 0)
+def demand(i, n):
+    return pack("<BIQfHfHIIQI", 30, i, 1000 * i + n, n % 5, 0, 0.0, 1, 90000, 0, 0, 4000000)
+data = frame(1, [census] + [call(i) for i in chosen for call in (born, update)])
+data += frame(2, [demand(i, n) for i in chosen for n in range(50)])
+out = io.BytesIO()
+Ground().serve(io.BytesIO(data), out)
+reply = out.getvalue()
+size = int.from_bytes(reply[4:8], "little") + 8
+at, routes = size + 12, []
+sizes = {60: 17, 90: 23, 110: 18, 40: 17}
+while at < len(reply):
+    record = reply[at:at + sizes[reply[at]]]
+    at += len(record)
+    if record[0] == 90 and record[1] == 1:
+        routes.append(record.hex())
+assert len(routes) == 50
+print("\n".join(routes))
+"""
+
+
+def test_same_events_same_actions_in_any_process():
+    runs = {subprocess.run([sys.executable, "-c", EVENTS, chosen], env={"PYTHONHASHSEED": seed},
+                           capture_output=True, text=True, check=True).stdout
+            for chosen, seed in (("0,1", "0"), ("0,1", "123"), ("1", "7"))}
+    assert len(runs) == 1
+
+
+@pytest.mark.parametrize("data, code, line", [
+    (b"", 0, ""), (b"\x10\0", 1, "inside a frame's length"), (b"\x02\0\0\0", 1, "impossible frame length 2"),
+    (bytes.fromhex("11000000" + "00" * 8 + "01000000" + "00000000" + "ff"), 1, "unknown record code 255"),
+    (bytes.fromhex("11000000" + "00" * 8 + "00000000" + "00000000" + "64"), 1, "left over"),
+    (bytes.fromhex("13000000" + "00" * 8 + "01000000" + "00000000" + "640100"), 1, "record cut short")])
+def test_bad_input_ends_with_one_line(data, code, line):
+    run = subprocess.run([sys.executable, "-m", "corkgauge.drill"], input=data, capture_output=True)
+    said = run.stderr.decode().splitlines()
+    assert run.returncode == code and line in "".join(said) and len(said) == code and not run.stdout
+
+
+def test_settings_that_make_no_sense_are_a_fault_with_the_key():
+    from struct import pack
+
+    from corkgauge.drill.__main__ import Cursor, Ground
+    ground = Ground()
+    boot = b'{"profiles":[{"deadlineUs":-5}]}'
+    ground.record(Cursor(pack("<BIQI", 10, 1, 2, len(boot)) + boot), 0)
+    assert ground.actions[0][0] == 70 and b"deadlineUs: -5" in ground.actions[0]
+
+
+def test_time_outs_push_the_bound_down_and_answers_in_time_up():
+    yard = Yard(engines=1)
+    engine = yard.engines[0]
+    for outcome, least, most in ((HONOURED, 1.0, 2.0), (TIMED_OUT, 0.0, 1.0)):
+        engine.view.bound = 1.0
+        for _ in range(20):
+            for handoff in yard.take().handoffs:
+                yard.over(handoff, outcome, took=2000)
+        assert least <= engine.view.bound <= most and engine.view.bound != 1.0
