An engine full by count or report, or stalled, is under pressure

Symptom: dozens of hand-offs of one gateway at one engine (up to 137 threads for 12 slots), refusals as full, time-outs. Cause: the bound acts only while answers look slow; a stalled engine gives no answers, and between two bad samples the whole queue went out at once. Told from lost engines by the hand-offs a gateway held at engines that still answered. Change: what is out longer than the last answers took counts as a slow sample; an engine that holds 1.5 threads a core of ours, or reports as many submissions, is pressed; late answers lower the bound; after its wait a submission is dismissed rather than pushed beyond the bound. May hurt one gateway that carries most of the traffic.

--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -26,7 +26,8 @@
 FLOOR = 0.1             # least share, of an equal share
 THREADS_PER_CORE = 1.5  # of all gateways together, where the bound starts
 STEP = 0.1              # of the bound
-LEAST_BOUND = 0.5       # how far refusals push the bound below its start
+LEAST_BOUND = 0.25      # how far refusals push the bound below its start
+UNSEEN = 1.5            # latency over the time of the work alone, before any answer tells
 PRESSED = 2.0           # latency this many times its best means pressure
 WAIT_PART = 0.1         # of a submission's life that it waits in its queue at most
 NEAR = 3                # engines of the hashed order that are looked at first
@@ -59,9 +60,19 @@
         self.refused_until = -1
         self.bound = 1.0
         self.spent: deque[tuple[int, float]] = deque()      # when, and usual work sent
-
-    def slow(self, otherwise: float) -> float:
-        return median(self.slowness) if len(self.slowness) >= 3 else otherwise
+        self.out: list[HandOff] = []
+        self.load = -1.0                                    # submissions it last reported to hold
+        self.found = (-1, 0.0)                              # when slow() was worked out, and its figure
+
+    def slow(self, now: int, otherwise: float) -> float:
+        """The median slowness of the last answers, and of what is out longer than those took."""
+        if self.found[0] != now:
+            usual = median(self.slowness) if len(self.slowness) >= 3 else 0.0
+            # Danger: an engine that stalls or slows sends no bad samples; its silence must count as one.
+            ages = [(now - h.sent) / h.due for h in self.out]
+            seen = [*self.slowness, *(age for age in ages if age > max(usual, UNSEEN))]
+            self.found = now, median(seen) if len(seen) >= 3 else 0.0
+        return self.found[1] or otherwise
 
     def trusted(self) -> bool:
         return sum(self.faults) < 2 and not (self.faults and self.faults[-1])
@@ -95,7 +106,7 @@
         self.rests: dict[int, int] = {}                     # by key: a hand-off may still run until then
         self.taken: deque[int] = deque()
         self.extras: deque[int] = deque()
-        self.best = float("inf")
+        self.best = UNSEEN
         for offering in offerings:
             offering.samples = deque(maxlen=LAST_ANSWERS)   # work, memory: true over estimate; true work
         host.wake(PERIOD, self.interval_over)
@@ -106,7 +117,7 @@
         """The list names an engine; a drain or departure holds from this moment."""
         if engine.view is None or started > engine.started:
             spent = engine.view.spent if engine.view else deque()
-            engine.view = View()
+            engine.view, engine.threads = View(), 0
             engine.view.spent = spent
         if engine.state != READY and state == READY:
             engine.view.rests_until = -1
@@ -153,25 +164,23 @@
             self._pump()
 
     def wait_over(self, sub: Submission, joined: int) -> None:
-        """A submission has waited its part: it goes now, beyond the bound if need be, or is dismissed."""
-        if not sub.queued or sub.over or sub.work < 0 or joined != len(sub.handoffs):
-            return
-        engine = self._choose(sub, patient=False)
-        if engine:
-            self._release(sub, engine)
-        elif any(h.out for h in sub.handoffs):
-            self._unqueue(sub)          # a second copy that found no place; the first still runs
-        else:
-            self._end(sub)
-        self._pump()
+        """A submission has waited its part in vain: it is dismissed."""
+        if sub.queued and joined == len(sub.handoffs):      # the pump would have sent it, had it found a slot
+            if any(h.out for h in sub.handoffs):
+                self._unqueue(sub)      # a second copy that found no place; the first still runs
+            else:
+                self._end(sub)
+            self._pump()
 
     def handoff_over(self, handoff: HandOff, outcome: int, took: int, finished: bool, work: int, need: float,
                      inflight: float, util: float) -> None:
         """A hand-off has its outcome; the first answer has gone to the client by itself."""
         sub, engine = handoff.submission, handoff.engine
         handoff.out, handoff.outcome = False, outcome
-        engine.threads -= sub.offering.threads
-        self._learn(handoff, took, work, need)
+        if handoff in engine.view.out:
+            engine.view.out.remove(handoff)
+            engine.threads -= sub.offering.threads
+        self._learn(handoff, took, work, need, inflight)
         if not sub.over:
             if finished or outcome == HONOURED:
                 self._close(sub, took + handoff.sent - sub.taken)
@@ -204,9 +213,6 @@
             self._rescue(handoff)
             self._pump()
 
-    def probe_answered(self, engine: Engine, outcome: int, took: int, inflight: float, util: float) -> None:
-        """The answer to a probe; none is sent so far."""
-
     def interval_over(self) -> None:
         """Feedback: shares move a bounded step towards equal weighted badness."""
         self.host.wake(PERIOD, self.interval_over)
@@ -271,16 +277,14 @@
         while able:
             queue = self._draw(able)
             for sub in list(queue.waiting)[:LAST]:
-                engine = self._choose(sub, patient=True)
+                engine = self._choose(sub)
                 if engine:
                     self._release(sub, engine)
                     break
                 if not sub.handoffs:    # those behind it have no more choice than this one
-                    able.remove(queue)
+                    engine = None
                     break
-            else:
-                able.remove(queue)
-            if queue in able and not queue.waiting:
+            if not engine or not queue.waiting:
                 able.remove(queue)
 
     def _join(self, sub: Submission, first: bool = False) -> None:
@@ -305,7 +309,7 @@
             order = self.orders[tables] = sorted(self.engines, key=lambda e: (crc32(mark + e.mark), e.mark))
         return order
 
-    def _choose(self, sub: Submission, patient: bool) -> Engine | None:
+    def _choose(self, sub: Submission) -> Engine | None:
         """The engine for the next hand-off; None while all that it may use are full."""
         if sub.handoffs and not (self._may_again(sub) and self._extra_left()):
             return None
@@ -318,8 +322,6 @@
         usual = self._usual_slowness()
         free = [e for e in well[:NEAR] if not self._full(e, sub.offering, usual)]
         free = free or [e for e in well[NEAR:] if not self._full(e, sub.offering, usual)][:NEAR]
-        if not free and not patient:
-            free = [e for e in well if e.threads + sub.offering.threads <= 2 * self._slots_of(e)]
         return min(free, key=lambda e: self._crowd(e, sub.offering, usual), default=None)
 
     def _may(self, sub: Submission, engine: Engine) -> bool:
@@ -340,13 +342,12 @@
 
     def _cold_left(self, engine: Engine) -> float:
         """Work that this gateway may still send to a cold engine in the present span."""
-        now, spent = self.host.now, engine.view.spent
+        now = self.host.now
         # Danger: a gateway that restarts does not know what it sent before.
         if now < self.born + self.fall_span:
             return 0.0
-        while spent and spent[0][0] <= now - self.fall_span:
-            spent.popleft()
-        return self.cold_part * self._cores(engine) - sum(work for _, work in spent)
+        sent = sum(work for when, work in engine.view.spent if when > now - self.fall_span)
+        return self.cold_part * self._cores(engine) - sent
 
     def _cores(self, engine: Engine) -> float:
         return self.cores[engine.kind] if engine.kind < len(self.cores) else 1.0
@@ -359,7 +360,12 @@
         return self.host.now >= view.rests_until and (view.trusted() or engine.threads == 0)
 
     def _pressed(self, engine: Engine, usual: float) -> bool:
-        return self.host.now < engine.view.refused_until or engine.view.slow(usual) > PRESSED * self.best
+        """Latency well above its best, a full refusal, or more threads than engines bear."""
+        view, now = engine.view, self.host.now
+        # Danger: between two bad samples the bound would not act, and a whole queue goes out at once.
+        crowded = THREADS_PER_CORE * self._cores(engine)
+        return (engine.threads >= crowded or (view.load >= crowded and now < view.heard + PERIOD) or
+                now < view.refused_until or view.slow(now, usual) > PRESSED * self.best)
 
     def _full(self, engine: Engine, offering: Offering, usual: float) -> bool:
         """The bound acts under pressure only; an engine that holds nothing of ours takes one."""
@@ -368,14 +374,13 @@
 
     def _crowd(self, engine: Engine, offering: Offering, usual: float) -> float:
         """This gateway's threads a core, were it sent there; a slower engine has fewer cores in effect."""
-        pace = max(1.0, engine.view.slow(usual) / usual)
-        if self._cold(engine):
-            pace = max(pace, 1 / self.cold_share)
+        pace = max(1.0, engine.view.slow(self.host.now, usual) / usual,
+                   1 / self.cold_share if self._cold(engine) else 1)
         return (engine.threads + offering.threads) / self._cores(engine) * pace
 
     def _usual_slowness(self) -> float:
-        seen = [e.view.slow(0) for e in self.engines if len(e.view.slowness) >= 3]
-        return median(seen) if seen else 1.5
+        seen = [slow for e in self.engines if (slow := e.view.slow(self.host.now, 0.0))]
+        return median(seen) if seen else UNSEEN
 
     def _fault(self, engine: Engine, why: str) -> None:
         """An engine did badly: it rests, twice as long each time among its last few."""
@@ -399,11 +404,12 @@
             fair = 1 / len(self.queues)
             grant = self._grant(sub, engine)
             self.host.set_terms(sub, grant, 3 if sub.queue.share >= fair * 0.999 else 2)
-        handoff = HandOff(sub, engine, len(sub.handoffs), now)
+        handoff = HandOff(sub, engine, len(sub.handoffs), now, max(sub.work / offering.threads, 1))
         sub.handoffs.append(handoff)
         engine.threads += offering.threads
+        engine.view.out.append(handoff)
         engine.view.spent.append((now, self._usual_work(offering)))
-        while engine.view.spent[0][0] <= now - self.fall_span:
+        while engine.view.spent and engine.view.spent[0][0] <= now - self.fall_span:
             engine.view.spent.popleft()
         self.host.hand_off(handoff, max(1, sub.taken + sub.life - now - self.margin // 2))
         patience = max(0.5 * sub.aim, 2 * self._time_of(sub, engine))
@@ -489,9 +495,11 @@
 
     # Measurements.
 
-    def _learn(self, handoff: HandOff, took: int, work: int, need: float) -> None:
+    def _learn(self, handoff: HandOff, took: int, work: int, need: float, inflight: float) -> None:
         sub, engine, now, outcome = handoff.submission, handoff.engine, self.host.now, handoff.outcome
         view, offering = engine.view, sub.offering
+        if inflight >= 0:
+            view.load = inflight
         if handoff.sent < engine.started:
             return      # it speaks of the engine before its restart
         if outcome == HONOURED:
@@ -504,11 +512,13 @@
                                          need / sub.memory if sub.memory else 0.0, work))
             else:
                 offering.samples.append((0.0, 0.0, sub.work))
-            view.slowness.append(took / max((work or sub.work) / offering.threads, 1))
+            view.slowness.append(max(took, 1) / max((work or sub.work) / offering.threads, 1))
             if len(view.slowness) >= 3:
-                self.best = min(self.best, max(1.0, view.slow(1.0)))
-            if took <= sub.aim:
-                view.bound = min(2.0, view.bound + STEP / 4)
+                self.best = min(self.best, max(1.0, median(view.slowness)))
+            # Danger: an engine that answers all, but late, is as overrun as one that refuses or times out.
+            aim = offering.aim + offering.stretch * (work or sub.work) / offering.threads
+            step = STEP / 4 if took <= aim else -STEP
+            view.bound = min(2.0, max(LEAST_BOUND, view.bound + step))
             return
         if outcome == FULL:
             view.heard = now
