Feedback weighs earnings for usual work; silence needs a second sign

A gateway with one long hand-off at an engine took it for silent; it now takes two overdue hand-offs, or as long again.

--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -24,7 +24,7 @@
 SIGMA = 0.05            # most that a share moves in a period
 INTERVALS = 5           # that the linear model sees
 FLOOR = 0.1             # least share, of an equal share
-THREADS_PER_CORE = 1.5  # of all gateways together, where the bound starts
+THREADS_PER_CORE = 1.25 # of all gateways together, where the bound starts
 STEP = 0.1              # of the bound
 LEAST_BOUND = 0.25      # how far refusals push the bound below its start
 UNSEEN = 1.5            # latency over the time of the work alone, before any answer tells
@@ -61,6 +61,7 @@
         self.bound = 1.0
         self.spent: deque[tuple[int, float]] = deque()      # when, and usual work sent
         self.out: list[HandOff] = []
+        self.quiet: list[int] = []                          # when those were sent that it let wait too long
         self.load = -1.0                                    # submissions it last reported to hold
         self.found = (-1, 0.0)                              # when slow() was worked out, and its figure
 
@@ -206,12 +207,17 @@
 
     def patience_over(self, handoff: HandOff) -> None:
         """A hand-off has been out for half its promised time."""
-        view = handoff.engine.view
-        # Danger: an engine that takes work and answers nothing. Any sign since the hand-off clears it.
+        view, now = handoff.engine.view, self.host.now
+        # Danger: an engine that takes work and answers nothing. Any sign since the hand-off clears it; one
+        # hand-off that lasts is no proof, so it takes a second, or as long again.
         if handoff.out and not handoff.submission.over and view.heard < handoff.sent:
-            self._fault(handoff.engine, "silent")
-            self._rescue(handoff)
-            self._pump()
+            view.quiet = [sent for sent in view.quiet if sent > view.heard] + [handoff.sent]
+            if len(view.quiet) > 1:
+                self._fault(handoff.engine, "silent")
+                self._rescue(handoff)
+                self._pump()
+            else:
+                self.host.wake(now - handoff.sent, self.patience_over, handoff)
 
     def interval_over(self) -> None:
         """Feedback: shares move a bounded step towards equal weighted badness."""
@@ -245,7 +251,9 @@
             spread = sum((a - mean_a) ** 2 for a, _ in queue.model)
             rise = sum((a - mean_a) * (q - mean_p) for a, q in queue.model)
             slope = max(rise / spread if spread > 1e-9 else 0.0, 1.0)
-            lines.append((queue, share, p, slope, queue.offering.worth))
+            # Earnings for the time that a slot is held: per offering alone, heavy ones would take them all.
+            weight = queue.offering.worth * SECOND / self._usual_work(queue.offering)
+            lines.append((queue, share, p, slope, weight))
         total = sum(queue.share for queue in moving)
 
         def at(level: float) -> list[float]:
