A key's line dismisses those too late to start; light offerings pass the heavy

Cause, from ages at hand-off: lines of one key held 50 to 80 submissions, each first sent at 19 of its 20 seconds, timed out and wasted. Told from slow engines by lookups on the same engines, which were in time. Now a submission that its line keeps past the last moment to start in time is dismissed. Covers any slow line; hurts where late answers earn nearly as much as timely ones.

--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -24,7 +24,8 @@
 SIGMA = 0.05            # most that a share moves in a period
 INTERVALS = 5           # that the linear model sees
 FLOOR = 0.1             # least share, of an equal share
-THREADS_PER_CORE = 1.25 # of all gateways together, where the bound starts
+THREADS_PER_CORE = 0.9  # of all gateways together, where the bound starts
+LIGHT = 1.75             # bound for offerings lighter than the others' mean, over that of the heavy
 STEP = 0.1              # of the bound
 LEAST_BOUND = 0.25      # how far refusals push the bound below its start
 UNSEEN = 1.5            # latency over the time of the work alone, before any answer tells
@@ -107,7 +108,7 @@
         self.rests: dict[int, int] = {}                     # by key: a hand-off may still run until then
         self.taken: deque[int] = deque()
         self.extras: deque[int] = deque()
-        self.best = UNSEEN
+        self.best, self.usual_work = UNSEEN, 0.0
         for offering in offerings:
             offering.samples = deque(maxlen=LAST_ANSWERS)   # work, memory: true over estimate; true work
         host.wake(PERIOD, self.interval_over)
@@ -148,6 +149,9 @@
         self.host.wake(sub.life - self.margin, self.expiry_near, sub)
         if offering.ordered and sub.key:
             self.lines.setdefault(sub.key, deque()).append(sub)
+            # Danger: in a line longer than its promise every one starts too late, and none is in time.
+            in_time = int(sub.aim - self._time_of(sub))
+            self.host.wake(max(in_time, int(sub.life * WAIT_PART)), self.wait_over, sub, 0)
             self.turn(sub.key)
         else:
             self._join(sub)
@@ -166,7 +170,7 @@
 
     def wait_over(self, sub: Submission, joined: int) -> None:
         """A submission has waited its part in vain: it is dismissed."""
-        if sub.queued and joined == len(sub.handoffs):      # the pump would have sent it, had it found a slot
+        if not sub.over and joined == len(sub.handoffs):    # the pump would have sent it, had it found a slot
             if any(h.out for h in sub.handoffs):
                 self._unqueue(sub)      # a second copy that found no place; the first still runs
             else:
@@ -202,7 +206,7 @@
         # Danger: a bad plan, or an engine far slower than the others, holds its threads for many times the
         # work. Also covers a crowded engine. May hurt when estimates are far too low: hence the factor.
         left = (now - handoff.sent) * (1 - value) / value
-        if self.cancels and left > 3 * self._time_of(sub, handoff.engine):
+        if self.cancels and left > 3 * self._time_of(sub):
             self._rescue(handoff)
 
     def patience_over(self, handoff: HandOff) -> None:
@@ -222,6 +226,7 @@
     def interval_over(self) -> None:
         """Feedback: shares move a bounded step towards equal weighted badness."""
         self.host.wake(PERIOD, self.interval_over)
+        self.usual_work = fmean([self._usual_work(q.offering) for q in self.queues.values()] or [0.0])
         moving = []
         for queue in self.queues.values():
             if queue.badness:
@@ -377,7 +382,9 @@
 
     def _full(self, engine: Engine, offering: Offering, usual: float) -> bool:
         """The bound acts under pressure only; an engine that holds nothing of ours takes one."""
-        return engine.threads > 0 and engine.threads + offering.threads > self._slots_of(engine) and (
+        # Danger: heavy hand-offs hold slots for long and crowd the light ones out.
+        light = LIGHT if self._usual_work(offering) < self.usual_work else 1
+        return engine.threads > 0 and engine.threads + offering.threads > light * self._slots_of(engine) and (
             self._pressed(engine, usual))
 
     def _crowd(self, engine: Engine, offering: Offering, usual: float) -> float:
@@ -420,7 +427,7 @@
         while engine.view.spent and engine.view.spent[0][0] <= now - self.fall_span:
             engine.view.spent.popleft()
         self.host.hand_off(handoff, max(1, sub.taken + sub.life - now - self.margin // 2))
-        patience = max(0.5 * sub.aim, 2 * self._time_of(sub, engine))
+        patience = max(0.5 * sub.aim, 2 * self._time_of(sub))
         self.host.wake(int(patience), self.patience_over, handoff)
 
     def _grant(self, sub: Submission, engine: Engine) -> float:
@@ -550,6 +557,6 @@
             return max([2.0 * offering.aim * offering.threads, *works])
         return fmean(works) * 1.2
 
-    def _time_of(self, sub: Submission, engine: Engine) -> float:
+    def _time_of(self, sub: Submission) -> float:
         """What a hand-off should take, at the pace that engines keep at present."""
         return sub.work / sub.offering.threads * self._usual_slowness()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -109,13 +109,23 @@
 def test_order_waits_for_outcomes_of_the_ended():
     yard = Yard([ORDERED])
     first = yard.take(key=5, life=SECOND)
-    second = yard.take(key=5)
     yard.pass_time(SECOND)
+    second = yard.take(key=5)
     assert first.over and not second.handoffs
     yard.over(first.handoffs[0], HONOURED)
     assert second.handoffs
 
 
+def test_a_line_dismisses_those_that_can_no_longer_start_in_time():
+    yard = Yard([ORDERED])
+    first, second = yard.take(key=5), yard.take(key=5)
+    yard.pass_time(2 * SECOND)
+    third = yard.take(key=5)
+    assert second.over and not first.over and not third.over
+    yard.over(first.handoffs[0])
+    assert third.handoffs and not second.handoffs
+
+
 def test_placement_holds_when_the_allowed_are_down():
     yard = Yard([{**QUICK, "kinds": (1,)}, QUICK])
     yard.tell(yard.engines[1], state=GONE)
