The home engine is left only for a clearly emptier one; shorter text

A group's tables are warm at its home; with few hand-offs a gateway, ties and near ties spread each group over three engines. The next in order must now be emptier by a quarter of a thread a core.

--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -25,12 +25,13 @@
 INTERVALS = 5           # that the linear model sees
 FLOOR = 0.1             # least share, of an equal share
 THREADS_PER_CORE = 0.9  # of all gateways together, where the bound starts
-LIGHT = 1.75             # bound for offerings lighter than the others' mean, over that of the heavy
+LIGHT = 2.0             # bound for offerings lighter than the others' mean, over that of the heavy
 STEP = 0.1              # of the bound
 LEAST_BOUND = 0.25      # how far refusals push the bound below its start
 UNSEEN = 1.5            # latency over the time of the work alone, before any answer tells
 PRESSED = 2.0           # latency this many times its best means pressure
 WAIT_PART = 0.1         # of a submission's life that it waits in its queue at most
+HOME = 0.25             # threads a core by which the next in order must be emptier, as its tables are cold
 NEAR = 3                # engines of the hashed order that are looked at first
 LAST = 8                # samples kept for an engine
 LAST_ANSWERS = 48       # and for an offering
@@ -83,24 +84,21 @@
 class Gateway:
     """One workload manager's decisions."""
 
-    def __init__(self, host: Host, *, seed: int, number: int, gateways: int, tick: int,
-                 offerings: list[Offering], cores: list[float], memory: list[float], most_grant: float,
-                 priorities: bool, cancels: bool, copies: bool, most_handoffs: int, bills: bool,
-                 come_back: int, cold_share: float, cold_span: int, fall_multiple: float, fall_span: int,
+    def __init__(self, host: Host, *, seed: int, gateways: int, tick: int, offerings: list[Offering],
+                 cores: list[float], memory: list[float], most_grant: float, priorities: bool,
+                 cancels: bool, copies: bool, most_handoffs: int, come_back: int,
+                 cold_share: float, cold_span: int, fall_multiple: float, fall_span: int,
                  extra_floor: float, extra_share: float, extra_span: int, settle: int) -> None:
-        self.host, self.seed, self.drawn = host, seed, 0
-        self.cores = cores
+        self.host, self.seed, self.drawn, self.cores, self.born = host, seed, 0, cores, host.now
         self.grants = [most_grant * m for m in memory]
         self.priorities, self.cancels, self.copies = priorities, cancels, copies
-        self.most_handoffs, self.bills, self.come_back = most_handoffs, bills, come_back
+        self.most_handoffs, self.come_back, self.settle = most_handoffs, come_back, settle
         self.margin = 2 * tick + 10                 # an ending decided this long before expiry is in time
         self.slots = THREADS_PER_CORE / gateways    # threads a core, where the bound starts
         # A core's worth of work that this gateway may send in a span to an engine that has just started.
         self.cold_part = COLD_SAFETY * 0.85 * fall_multiple * cold_share * fall_span / gateways
         self.cold_share, self.cold_span, self.fall_span = cold_share, cold_span, fall_span
         self.extra = (extra_floor, extra_share, extra_span) if extra_span else OWN_EXTRA
-        self.settle = settle
-        self.born = host.now
         self.engines: list[Engine] = []
         self.orders: dict[float, list[Engine]] = {}
         self.queues: dict[tuple[int, Offering], Queue] = {}
@@ -140,7 +138,8 @@
         queue = self.queues.get((sub.tenant, offering))
         if queue is None:
             queue = self.queues[sub.tenant, offering] = Queue(offering)
-            self._share_equally()
+            for each in self.queues.values():
+                each.share = 1 / len(self.queues)
         sub.queue = queue
         sub.work = self._expected_work(sub)
         sub.aim = offering.aim + offering.stretch * sub.work / offering.threads
@@ -178,7 +177,7 @@
             self._pump()
 
     def handoff_over(self, handoff: HandOff, outcome: int, took: int, finished: bool, work: int, need: float,
-                     inflight: float, util: float) -> None:
+                     inflight: float) -> None:
         """A hand-off has its outcome; the first answer has gone to the client by itself."""
         sub, engine = handoff.submission, handoff.engine
         handoff.out, handoff.outcome = False, outcome
@@ -190,10 +189,7 @@
             if finished or outcome == HONOURED:
                 self._close(sub, took + handoff.sent - sub.taken)
             elif not any(h.out for h in sub.handoffs) and not sub.queued:
-                if self._may_again(sub):
-                    self._join(sub, first=True)
-                else:
-                    self._end(sub)
+                (self._join if self._may_again(sub) else self._end)(sub)
         self.turn(sub.key)
         self._pump()
 
@@ -219,7 +215,6 @@
             if len(view.quiet) > 1:
                 self._fault(handoff.engine, "silent")
                 self._rescue(handoff)
-                self._pump()
             else:
                 self.host.wake(now - handoff.sent, self.patience_over, handoff)
 
@@ -237,16 +232,8 @@
         if len(moving) > 1:
             self._equalise(moving)
 
-    def rest_over(self) -> None:
-        """An engine has rested, or a key or a cold budget has."""
-        self._pump()
-
     # Shares and the lottery.
 
-    def _share_equally(self) -> None:
-        for queue in self.queues.values():
-            queue.share = 1 / len(self.queues)
-
     def _equalise(self, moving: list[Queue]) -> None:
         """Find the level of weighted badness that all can meet, each within one step."""
         lines = []
@@ -300,12 +287,12 @@
             if not engine or not queue.waiting:
                 able.remove(queue)
 
-    def _join(self, sub: Submission, first: bool = False) -> None:
+    def _join(self, sub: Submission) -> None:
+        """Into its queue, or back to its front."""
         sub.queued = True
-        (sub.queue.waiting.appendleft if first else sub.queue.waiting.append)(sub)
+        (sub.queue.waiting.appendleft if sub.handoffs else sub.queue.waiting.append)(sub)
         self.host.wake(int(sub.life * WAIT_PART), self.wait_over, sub, len(sub.handoffs))
-        if not first:
-            self._pump()
+        self._pump()
 
     def _unqueue(self, sub: Submission) -> None:
         if sub.queued:
@@ -333,9 +320,10 @@
         tried = [h.engine for h in sub.handoffs]
         well = [e for e in well if e not in tried] or well
         usual = self._usual_slowness()
-        free = [e for e in well[:NEAR] if not self._full(e, sub.offering, usual)]
-        free = free or [e for e in well[NEAR:] if not self._full(e, sub.offering, usual)][:NEAR]
-        return min(free, key=lambda e: self._crowd(e, sub.offering, usual), default=None)
+        free = [n for n, e in enumerate(well) if not self._full(e, sub.offering, usual)]
+        free = [n for n in free if n < NEAR] or free[:NEAR]
+        best = min(free, key=lambda n: self._crowd(well[n], sub.offering, usual) + HOME * n, default=None)
+        return None if best is None else well[best]
 
     def _may(self, sub: Submission, engine: Engine) -> bool:
         """The rules on where a submission may go."""
@@ -365,9 +353,6 @@
     def _cores(self, engine: Engine) -> float:
         return self.cores[engine.kind] if engine.kind < len(self.cores) else 1.0
 
-    def _slots_of(self, engine: Engine) -> float:
-        return self.slots * self._cores(engine) * engine.view.bound
-
     def _well(self, engine: Engine) -> bool:
         view = engine.view
         return self.host.now >= view.rests_until and (view.trusted() or engine.threads == 0)
@@ -384,8 +369,8 @@
         """The bound acts under pressure only; an engine that holds nothing of ours takes one."""
         # Danger: heavy hand-offs hold slots for long and crowd the light ones out.
         light = LIGHT if self._usual_work(offering) < self.usual_work else 1
-        return engine.threads > 0 and engine.threads + offering.threads > light * self._slots_of(engine) and (
-            self._pressed(engine, usual))
+        slots = light * engine.view.bound * self.slots * self._cores(engine)
+        return 0 < engine.threads > slots - offering.threads and self._pressed(engine, usual)
 
     def _crowd(self, engine: Engine, offering: Offering, usual: float) -> float:
         """This gateway's threads a core, were it sent there; a slower engine has fewer cores in effect."""
@@ -404,7 +389,7 @@
         if self.host.now >= view.rests_until:
             rest = REST * 2 ** min(sum(view.faults) - 1, 4)
             view.rests_until = self.host.now + rest
-            self.host.wake(rest, self.rest_over)
+            self.host.wake(rest, self._pump)
             self.host.log(f"rest {engine.mark.hex()} {why} faults={sum(view.faults)} for={rest}")
 
     # Hand-offs.
@@ -435,7 +420,7 @@
         ratios = sorted(need for _, need, _ in sub.offering.samples if need)
         if not self.grants or not sub.memory or len(ratios) < LAST:
             return 0.0
-        return min(sub.memory * ratios[int(0.8 * len(ratios))] * 1.05, self.grants[engine.kind])
+        return min(sub.memory * ratios[int(0.85 * len(ratios))], self.grants[engine.kind])
 
     def _rescue(self, handoff: HandOff) -> None:
         """Try a hand-off that does badly elsewhere: called off first, or a second copy."""
@@ -446,7 +431,7 @@
             handoff.called_off = True
             self.host.call_off(handoff)
         elif self.copies and sum(h.out for h in sub.handoffs) < 2:
-            self._join(sub, first=True)
+            self._join(sub)
 
     def _may_again(self, sub: Submission) -> bool:
         """The rule on effects: may there be another hand-off, whatever the budget says?"""
@@ -475,10 +460,7 @@
         harmless = sub.offering.repeat == REDOABLE or all(h.outcome in NEVER_RAN for h in sub.handoffs) or (
             sub.offering.repeat == LABELLED and sub.offering.group == "all")
         # Danger: closing lets the next of its key go, so the answer comes first.
-        if harmless:
-            self.host.dismiss(sub, self.come_back)
-        else:
-            self.host.scrap(sub)
+        self.host.dismiss(sub, self.come_back) if harmless else self.host.scrap(sub)
         self._close(sub, sub.life)
 
     def _close(self, sub: Submission, latency: int) -> None:
@@ -522,16 +504,14 @@
             if not view.trusted():
                 self.host.log(f"back {engine.mark.hex()} faults={sum(view.faults)}")
             view.faults.append(False)
-            if work:
-                offering.samples.append((work / sub.estimate if sub.estimate else 0.0,
-                                         need / sub.memory if sub.memory else 0.0, work))
-            else:
-                offering.samples.append((0.0, 0.0, sub.work))
-            view.slowness.append(max(took, 1) / max((work or sub.work) / offering.threads, 1))
+            alone = max((work or sub.work) / offering.threads, 1)
+            ratios = work / max(sub.estimate, 1), need / max(sub.memory, 1.0)
+            offering.samples.append((*ratios, work or sub.work))
+            view.slowness.append(max(took, 1) / alone)
             if len(view.slowness) >= 3:
                 self.best = min(self.best, max(1.0, median(view.slowness)))
             # Danger: an engine that answers all, but late, is as overrun as one that refuses or times out.
-            aim = offering.aim + offering.stretch * (work or sub.work) / offering.threads
+            aim = offering.aim + offering.stretch * alone
             step = STEP / 4 if took <= aim else -STEP
             view.bound = min(2.0, max(LEAST_BOUND, view.bound + step))
             return
@@ -547,7 +527,7 @@
         """The work of a submission: its estimate, corrected by what this offering's answers told."""
         if not sub.estimate:
             return self._usual_work(sub.offering)
-        ratios = [ratio for ratio, _, _ in sub.offering.samples if ratio]
+        ratios = [ratio for ratio, _, _ in sub.offering.samples if ratio]    # none where answers do not tell
         return sub.estimate * (median(ratios) if len(ratios) >= LAST else 1.0)
 
     def _usual_work(self, offering: Offering) -> float:
--- a/corkgauge/drill/door.py
+++ b/corkgauge/drill/door.py
@@ -73,13 +73,13 @@
         if not self.offerings:
             raise ValueError("profiles: no class")
         self.gateway = Gateway(
-            self, seed=seed, number=figure(said, "myNumber", 0), gateways=figure(said, "instances", 1, 1),
+            self, seed=seed, gateways=figure(said, "instances", 1, 1),
             tick=-(-figure(said, "periodUs", 1000) // 100), offerings=self.offerings,
             cores=[float(c) for c in extra.get("coresByKind", [])],
             memory=[float(m) for m in extra.get("sizeMb", [])] if extra.get("takesGrants") else [],
             most_grant=figure(extra, "mostGrant", 1.0, 0), priorities=bool(extra.get("takesPriority")),
             cancels=bool(limits.get("cancel")), copies=bool(limits.get("secondCopies")),
-            most_handoffs=figure(limits, "mostTries", 1, 1), bills=self.bills,
+            most_handoffs=figure(limits, "mostTries", 1, 1),
             come_back=figure(limits, "maxRetryAfterUs", 0) // 100 if limits.get("retryAfter") else 0,
             cold_share=figure(rules, "coldShare", 1.0, 0), cold_span=figure(rules, "coldUs", 0) // 100,
             fall_multiple=figure(rules, "fallMultiple", 1.0, 0), fall_span=figure(rules, "fallUs", 0) // 100,
@@ -125,7 +125,7 @@
         told = dict(zip(self.fields, load))
         work, need = ((stats >> 12) * 10, (stats & 4095) * 4.0) if self.bills else (0, 0.0)
         self.gateway.handoff_over(handoff, reason, took // 100, terminal, work, need,
-                                  told.get("inflight", -1.0), told.get("util", -1.0))
+                                  told.get("inflight", -1.0))
         self.forget(submission)
 
     def update_of(self, tag: int, number: int, sort: int, value: float) -> None:
--- a/tests/yard.py
+++ b/tests/yard.py
@@ -5,8 +5,8 @@
 
 SECOND = 10_000
 QUICK = dict(name="quick", aim=SECOND, stretch=1.0, expiry=5 * SECOND, worth=1.0)
-STATED = dict(seed=7, number=0, gateways=2, tick=10, cores=[8.0, 8.0], memory=[], most_grant=0.5,
-              priorities=True, cancels=False, copies=False, most_handoffs=4, bills=True, come_back=0,
+STATED = dict(seed=7, gateways=2, tick=10, cores=[8.0, 8.0], memory=[], most_grant=0.5,
+              priorities=True, cancels=False, copies=False, most_handoffs=4, come_back=0,
               cold_share=0.3, cold_span=15 * SECOND, fall_multiple=2.0, fall_span=SECOND, extra_floor=0.0,
               extra_share=0.0, extra_span=0, settle=0)
 
@@ -36,7 +36,7 @@
     def over(self, handoff, outcome=HONOURED, took=None, finished=None, work=2000):
         took = self.now - handoff.sent if took is None else took
         finished = outcome == HONOURED if finished is None else finished
-        self.gateway.handoff_over(handoff, outcome, took, finished, work if finished else 0, 0.0, -1.0, -1.0)
+        self.gateway.handoff_over(handoff, outcome, took, finished, work if finished else 0, 0.0, -1.0)
 
     def pass_time(self, span):
         """Let time go by, waking the gateway in order."""
