Without pressure a lone gateway may hold 1.5 threads a core

Cause, counted by reason: a gateway that carried most of the traffic passed 0.9 threads a core while latency was at its best, and was then held to a fifth of that. Now what a gateway holds stops it at 1.5 threads a core only; the bound acts on latency, refusals, or a report of a submission a core.

--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -26,6 +26,7 @@
 FLOOR = 0.1             # least share, of an equal share
 THREADS_PER_CORE = 0.9  # of all gateways together, where the bound starts
 LIGHT = 2.0             # bound for offerings lighter than the others' mean, over that of the heavy
+CROWDED = 1.5           # threads a core that one gateway never passes
 STEP = 0.1              # of the bound
 LEAST_BOUND = 0.25      # how far refusals push the bound below its start
 UNSEEN = 1.5            # latency over the time of the work alone, before any answer tells
@@ -358,11 +359,9 @@
         return self.host.now >= view.rests_until and (view.trusted() or engine.threads == 0)
 
     def _pressed(self, engine: Engine, usual: float) -> bool:
-        """Latency well above its best, a full refusal, or more threads than engines bear."""
+        """Latency well above its best, a full refusal, or a report of a submission a core."""
         view, now = engine.view, self.host.now
-        # Danger: between two bad samples the bound would not act, and a whole queue goes out at once.
-        crowded = THREADS_PER_CORE * self._cores(engine)
-        return (engine.threads >= crowded or (view.load >= crowded and now < view.heard + PERIOD) or
+        return ((view.load >= self._cores(engine) and now < view.heard + PERIOD) or
                 now < view.refused_until or view.slow(now, usual) > PRESSED * self.best)
 
     def _full(self, engine: Engine, offering: Offering, usual: float) -> bool:
@@ -370,7 +369,10 @@
         # Danger: heavy hand-offs hold slots for long and crowd the light ones out.
         light = LIGHT if self._usual_work(offering) < self.usual_work else 1
         slots = light * engine.view.bound * self.slots * self._cores(engine)
-        return 0 < engine.threads > slots - offering.threads and self._pressed(engine, usual)
+        # Danger: between two bad samples the bound would not act, and a whole queue goes out at once.
+        if not self._pressed(engine, usual):
+            slots = max(slots, CROWDED * self._cores(engine))
+        return 0 < engine.threads > slots - offering.threads
 
     def _crowd(self, engine: Engine, offering: Offering, usual: float) -> float:
         """This gateway's threads a core, were it sent there; a slower engine has fewer cores in effect."""
