Free offerings leave the engines that bound ones need; shorter text

An engine that some bound offering may use counts one thread a core fuller for offerings that may go anywhere. Covers any placement by kind or hall; hurts where the bound offering is rare.

--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -33,6 +33,7 @@
 PRESSED = 2.0           # latency this many times its best means pressure
 WAIT_PART = 0.1         # of a submission's life that it waits in its queue at most
 HOME = 0.25             # threads a core by which the next in order must be emptier, as its tables are cold
+KEPT = 1.0              # the same, for an engine that offerings bound to some engines need
 NEAR = 3                # engines of the hashed order that are looked at first
 LAST = 8                # samples kept for an engine
 LAST_ANSWERS = 48       # and for an offering
@@ -108,6 +109,7 @@
         self.taken: deque[int] = deque()
         self.extras: deque[int] = deque()
         self.best, self.usual_work = UNSEEN, 0.0
+        self.bound_ones = [offering for offering in offerings if offering.kinds or offering.halls]
         for offering in offerings:
             offering.samples = deque(maxlen=LAST_ANSWERS)   # work, memory: true over estimate; true work
         host.wake(PERIOD, self.interval_over)
@@ -160,22 +162,17 @@
         """The client has gone; nothing more is owed."""
         if not sub.over:
             self._close(sub, sub.life)
-            self._pump()
 
     def expiry_near(self, sub: Submission) -> None:
         """The last moment for a final answer."""
         if not sub.over:
             self._end(sub)
-            self._pump()
 
     def wait_over(self, sub: Submission, joined: int) -> None:
         """A submission has waited its part in vain: it is dismissed."""
         if not sub.over and joined == len(sub.handoffs):    # the pump would have sent it, had it found a slot
-            if any(h.out for h in sub.handoffs):
-                self._unqueue(sub)      # a second copy that found no place; the first still runs
-            else:
-                self._end(sub)
-            self._pump()
+            # A second copy that found no place is forgotten: the first still runs.
+            (self._unqueue if any(h.out for h in sub.handoffs) else self._end)(sub)
 
     def handoff_over(self, handoff: HandOff, outcome: int, took: int, finished: bool, work: int, need: float,
                      inflight: float) -> None:
@@ -329,8 +326,7 @@
     def _may(self, sub: Submission, engine: Engine) -> bool:
         """The rules on where a submission may go."""
         offering = sub.offering
-        if engine.state != READY or (offering.halls and engine.hall not in offering.halls) or (
-                offering.kinds and engine.kind not in offering.kinds):
+        if engine.state != READY or not self._placed(offering, engine):
             return False
         first = next((h for h in sub.handoffs if h.outcome not in NEVER_RAN), None)
         if first is not None and offering.repeat == LABELLED and (
@@ -339,6 +335,10 @@
             return False
         return not self._cold(engine) or self._cold_left(engine) >= self._usual_work(offering)
 
+    def _placed(self, offering: Offering, engine: Engine) -> bool:
+        return (not offering.halls or engine.hall in offering.halls) and (
+            not offering.kinds or engine.kind in offering.kinds)
+
     def _cold(self, engine: Engine) -> bool:
         return bool(engine.started) and self.host.now < engine.started + self.cold_span
 
@@ -355,8 +355,7 @@
         return self.cores[engine.kind] if engine.kind < len(self.cores) else 1.0
 
     def _well(self, engine: Engine) -> bool:
-        view = engine.view
-        return self.host.now >= view.rests_until and (view.trusted() or engine.threads == 0)
+        return self.host.now >= engine.view.rests_until and (engine.view.trusted() or engine.threads == 0)
 
     def _pressed(self, engine: Engine, usual: float) -> bool:
         """Latency well above its best, a full refusal, or a report of a submission a core."""
@@ -378,7 +377,10 @@
         """This gateway's threads a core, were it sent there; a slower engine has fewer cores in effect."""
         pace = max(1.0, engine.view.slow(self.host.now, usual) / usual,
                    1 / self.cold_share if self._cold(engine) else 1)
-        return (engine.threads + offering.threads) / self._cores(engine) * pace
+        # Danger: offerings that may go anywhere fill the few engines that others are bound to.
+        kept = KEPT * (not offering.kinds and not offering.halls and any(
+            self._placed(bound, engine) for bound in self.bound_ones))
+        return (engine.threads + offering.threads) / self._cores(engine) * pace + kept
 
     def _usual_slowness(self) -> float:
         seen = [slow for e in self.engines if (slow := e.view.slow(self.host.now, 0.0))]
@@ -403,9 +405,8 @@
         if sub.handoffs:
             self.extras.append(now)
         if self.priorities or self.grants:
-            fair = 1 / len(self.queues)
-            grant = self._grant(sub, engine)
-            self.host.set_terms(sub, grant, 3 if sub.queue.share >= fair * 0.999 else 2)
+            leads = sub.queue.share * len(self.queues) >= 0.999
+            self.host.set_terms(sub, self._grant(sub, engine), 3 if leads else 2)
         handoff = HandOff(sub, engine, len(sub.handoffs), now, max(sub.work / offering.threads, 1))
         sub.handoffs.append(handoff)
         engine.threads += offering.threads
@@ -414,8 +415,7 @@
         while engine.view.spent and engine.view.spent[0][0] <= now - self.fall_span:
             engine.view.spent.popleft()
         self.host.hand_off(handoff, max(1, sub.taken + sub.life - now - self.margin // 2))
-        patience = max(0.5 * sub.aim, 2 * self._time_of(sub))
-        self.host.wake(int(patience), self.patience_over, handoff)
+        self.host.wake(int(max(0.5 * sub.aim, 2 * self._time_of(sub))), self.patience_over, handoff)
 
     def _grant(self, sub: Submission, engine: Engine) -> float:
         """Memory as estimated, corrected by what answers told; 0 leaves it to the engine."""
