--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -29,6 +29,18 @@
     assert homes[0] == homes[1] and len(set(homes[0])) > 2
 
 
+@pytest.mark.parametrize("kinds, kept", [((), False), ((0,), True)])
+def test_free_offerings_leave_engines_that_bound_ones_need(kinds, kept):
+    yard = Yard([QUICK, {**HEAVY, "kinds": kinds}], engines=4)
+    homes = [yard.gateway._order(float(t))[0].kind for t in range(8)]
+    yard.gateway.host.now += 1
+    for tables in range(8):
+        sub = yard.take(tables=float(tables))
+        yard.over(sub.handoffs[0], took=2000)
+        homes[tables] = homes[tables], sub.handoffs[0].engine.kind
+    assert ({went for home, went in homes if home == 0} == {1}) == kept
+
+
 def test_the_bound_binds_under_pressure_only():
     yard = Yard(engines=1)
     subs = [yard.take() for _ in range(int(8 * CROWDED))]   # a lone gateway on a quiet day
