--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -37,6 +37,7 @@
 NEAR = 3                # engines of the hashed order that are looked at first
 LAST = 8                # samples kept for an engine
 LAST_ANSWERS = 48       # and for an offering
+SILENT = 6.0            # usual lifetimes, of all hand-offs out together, without a sign
 REST = SECOND           # of an engine that did badly once; doubles with each further time
 COLD_SAFETY = 0.7       # of its part of the cold budget that a gateway uses
 OWN_EXTRA = 10, 0.5, 5 * SECOND  # budget for further hand-offs where none is stated
@@ -58,14 +59,12 @@
 
     def __init__(self) -> None:
         self.slowness: deque[float] = deque(maxlen=LAST)    # time taken over the time of the work alone
-        self.faults: deque[bool] = deque(maxlen=LAST)
+        self.faults: deque[str] = deque(maxlen=LAST)        # one for each outcome; empty: a good answer
         self.heard = -1                                     # when it last gave a sign of its own
-        self.rests_until = -1
-        self.refused_until = -1
+        self.rests_until = self.refused_until = -1
         self.bound = 1.0
         self.spent: deque[tuple[int, float]] = deque()      # when, and usual work sent
         self.out: list[HandOff] = []
-        self.quiet: list[int] = []                          # when those were sent that it let wait too long
         self.load = -1.0                                    # submissions it last reported to hold
         self.found = (-1, 0.0)                              # when slow() was worked out, and its figure
 
@@ -80,7 +79,8 @@
         return self.found[1] or otherwise
 
     def trusted(self) -> bool:
-        return sum(self.faults) < 2 and not (self.faults and self.faults[-1])
+        """After a lost connection or silence one good answer is enough; errors may come between good ones."""
+        return self.faults.count("error") < 2 and not (self.faults and self.faults[-1])
 
 
 class Gateway:
@@ -106,8 +106,7 @@
         self.queues: dict[tuple[int, Offering], Queue] = {}
         self.lines: dict[int, deque[Submission]] = {}       # by key, in the order taken
         self.rests: dict[int, int] = {}                     # by key: a hand-off may still run until then
-        self.taken: deque[int] = deque()
-        self.extras: deque[int] = deque()
+        self.taken, self.extras = deque[int](), deque[int]()    # when, within the budget's span
         self.best, self.usual_work = UNSEEN, 0.0
         self.bound_ones = [offering for offering in offerings if offering.kinds or offering.halls]
         for offering in offerings:
@@ -204,17 +203,15 @@
             self._rescue(handoff)
 
     def patience_over(self, handoff: HandOff) -> None:
-        """A hand-off has been out for half its promised time."""
-        view, now = handoff.engine.view, self.host.now
-        # Danger: an engine that takes work and answers nothing. Any sign since the hand-off clears it; one
-        # hand-off that lasts is no proof, so it takes a second, or as long again.
+        view, now, usual = handoff.engine.view, self.host.now, self._usual_slowness()
+        # Danger: an engine that takes work and answers nothing. Any sign clears it; one long hand-off is no
+        # proof: what is out there must, together, have lasted several times what it should since that sign.
         if handoff.out and not handoff.submission.over and view.heard < handoff.sent:
-            view.quiet = [sent for sent in view.quiet if sent > view.heard] + [handoff.sent]
-            if len(view.quiet) > 1:
+            if sum((now - max(h.sent, view.heard)) / h.due for h in view.out) > SILENT * usual:
                 self._fault(handoff.engine, "silent")
                 self._rescue(handoff)
             else:
-                self.host.wake(now - handoff.sent, self.patience_over, handoff)
+                self.host.wake(max((now - handoff.sent) // 2, 1), self.patience_over, handoff)
 
     def interval_over(self) -> None:
         """Feedback: shares move a bounded step towards equal weighted badness."""
@@ -344,18 +341,20 @@
 
     def _cold_left(self, engine: Engine) -> float:
         """Work that this gateway may still send to a cold engine in the present span."""
-        now = self.host.now
+        since = self.host.now - self.fall_span
         # Danger: a gateway that restarts does not know what it sent before.
-        if now < self.born + self.fall_span:
+        if since < self.born:
             return 0.0
-        sent = sum(work for when, work in engine.view.spent if when > now - self.fall_span)
-        return self.cold_part * self._cores(engine) - sent
+        return self.cold_part * self._cores(engine) - sum(w for when, w in engine.view.spent if when > since)
 
     def _cores(self, engine: Engine) -> float:
         return self.cores[engine.kind] if engine.kind < len(self.cores) else 1.0
 
     def _well(self, engine: Engine) -> bool:
-        return self.host.now >= engine.view.rests_until and (engine.view.trusted() or engine.threads == 0)
+        """Not at rest; after a rest one hand-off tells, whatever long ones are still out from before."""
+        view = engine.view
+        return self.host.now >= view.rests_until and (
+            view.trusted() or all(h.sent < view.rests_until for h in view.out))
 
     def _pressed(self, engine: Engine, usual: float) -> bool:
         """Latency well above its best, a full refusal, or a report of a submission a core."""
@@ -389,12 +388,13 @@
     def _fault(self, engine: Engine, why: str) -> None:
         """An engine did badly: it rests, twice as long each time among its last few."""
         view = engine.view
-        view.faults.append(True)
+        view.faults.append(why)
+        bad = sum(map(bool, view.faults))
         if self.host.now >= view.rests_until:
-            rest = REST * 2 ** min(sum(view.faults) - 1, 4)
+            rest = REST * 2 ** min(bad - 1, 4)
             view.rests_until = self.host.now + rest
             self.host.wake(rest, self._pump)
-            self.host.log(f"rest {engine.mark.hex()} {why} faults={sum(view.faults)} for={rest}")
+            self.host.log(f"rest {engine.mark.hex()} {why} faults={bad} for={rest}")
 
     # Hand-offs.
 
@@ -504,8 +504,8 @@
         if outcome == HONOURED:
             view.heard = now
             if not view.trusted():
-                self.host.log(f"back {engine.mark.hex()} faults={sum(view.faults)}")
-            view.faults.append(False)
+                self.host.log(f"back {engine.mark.hex()} faults={sum(map(bool, view.faults))}")
+            view.faults.append("")
             alone = max((work or sub.work) / offering.threads, 1)
             ratios = work / max(sub.estimate, 1), need / max(sub.memory, 1.0)
             offering.samples.append((*ratios, work or sub.work))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -133,6 +133,19 @@
     assert (len(sub.handoffs) == 2) == (rescued == "copy")
 
 
+def test_one_long_hand_off_is_no_silence_and_bars_no_trial():
+    yard = Yard([QUICK, HEAVY], engines=2)
+    long = yard.take(1, estimate=8 * SECOND, life=30 * SECOND)
+    engine, home = long.handoffs[0].engine, long.tables
+    yard.pass_time(8 * SECOND)
+    assert not any("silent" in line for line, _ in yard.said("log"))
+    for sub in [yard.take(tables=home) for _ in range(6)]:
+        if sub.handoffs[0].engine is engine:
+            yard.over(sub.handoffs[0], ERROR)
+    yard.pass_time(30 * SECOND // 2)
+    assert not long.over and any(yard.take(tables=home).handoffs[0].engine is engine for _ in range(9))
+
+
 def test_a_bad_plan_is_called_off():
     yard = Yard(cancels=True)
     sub = yard.take()
