--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -39,7 +39,7 @@
 LAST_ANSWERS = 48       # and for an offering
 SILENT = 6.0            # usual lifetimes, of all hand-offs out together, without a sign
 REST = SECOND           # of an engine that did badly once; doubles with each further time
-COLD_SAFETY = 0.7       # of its part of the cold budget that a gateway uses
+COLD_SAFETY = 0.9       # of its part of the cold budget that a gateway uses
 OWN_EXTRA = 10, 0.5, 5 * SECOND  # budget for further hand-offs where none is stated
 
 
@@ -537,7 +537,7 @@
         works = [work for _, _, work in offering.samples]
         if len(works) < LAST:
             return max([2.0 * offering.aim * offering.threads, *works])
-        return fmean(works) * 1.2
+        return fmean(works)
 
     def _time_of(self, sub: Submission) -> float:
         """What a hand-off should take, at the pace that engines keep at present."""
