A queue that waits releases its lightest first

Under pressure, the only time a queue waits, the lightest of it by corrected estimate goes first; the promised time grows with the work, so heavy ones can wait longer, and what waits too long still counts as badness. Hurts the heaviest in a long overload: they are refused.

--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -11,6 +11,7 @@
 """
 
 from collections import deque
+from heapq import nsmallest
 from statistics import fmean, median
 from struct import pack
 from zlib import crc32
@@ -48,7 +49,7 @@
 
     def __init__(self, offering: Offering) -> None:
         self.offering = offering
-        self.waiting: deque[Submission] = deque()
+        self.waiting: list[Submission] = []
         self.share = 0.0
         self.badness: list[float] = []                      # latency over promised time, this interval
         self.model: deque[tuple[float, float]] = deque(maxlen=INTERVALS)   # share, p
@@ -217,13 +218,11 @@
         """Feedback: shares move a bounded step towards equal weighted badness."""
         self.host.wake(PERIOD, self.interval_over)
         self.usual_work = fmean([self._usual_work(q.offering) for q in self.queues.values()] or [0.0])
-        moving = []
-        for queue in self.queues.values():
-            if queue.badness:
-                late = sorted(queue.badness)
-                queue.model.append((queue.share, 1 / max(late[int(0.99 * len(late))], 1e-3)))
-                queue.badness = []
-                moving.append(queue)
+        moving = [queue for queue in self.queues.values() if queue.badness]
+        for queue in moving:
+            late = sorted(queue.badness)
+            queue.model.append((queue.share, 1 / max(late[int(0.99 * len(late))], 1e-3)))
+            queue.badness = []
         if len(moving) > 1:
             self._equalise(moving)
 
@@ -271,21 +270,20 @@
         able = [q for q in self.queues.values() if q.waiting]
         while able:
             queue = self._draw(able)
-            for sub in list(queue.waiting)[:LAST]:
+            # Danger: heavy draws take slots like light ones. Where a queue waits at all, its lightest go first.
+            for sub in nsmallest(LAST, queue.waiting, key=lambda each: each.work):
                 engine = self._choose(sub)
                 if engine:
                     self._release(sub, engine)
                     break
-                if not sub.handoffs:    # those behind it have no more choice than this one
-                    engine = None
+                if not sub.handoffs:    # the others have no more choice than this one
                     break
             if not engine or not queue.waiting:
                 able.remove(queue)
 
     def _join(self, sub: Submission) -> None:
-        """Into its queue, or back to its front."""
         sub.queued = True
-        (sub.queue.waiting.appendleft if sub.handoffs else sub.queue.waiting.append)(sub)
+        sub.queue.waiting.append(sub)
         self.host.wake(int(sub.life * WAIT_PART), self.wait_over, sub, len(sub.handoffs))
         self._pump()
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -6,7 +6,7 @@
 import pytest
 
 from corkgauge.control import CROWDED, FLOOR, SIGMA
-from corkgauge.interface import ERROR, FULL, HONOURED, PROGRESS, RESET, TIMED_OUT
+from corkgauge.interface import ERROR, FULL, HONOURED, PROGRESS, RESET, TIMED_OUT, Engine
 from tests.yard import QUICK, SECOND, Yard
 
 HEAVY = {**QUICK, "name": "heavy", "worth": 6.0, "threads": 4}
@@ -67,6 +67,13 @@
     assert not yard.take(1, estimate=9 * SECOND).handoffs and yard.take().handoffs
 
 
+def test_a_queue_that_waits_releases_its_lightest_first():
+    yard = Yard(engines=0)
+    subs = [yard.take(estimate=work) for work in (5000, 900, 3000)]
+    yard.tell(Engine("e", b"e", hall=0, kind=0, cell=0))
+    assert [tag for tag, _ in yard.said("hand_off")] == [subs[n].tag for n in (1, 2, 0)]
+
+
 @pytest.mark.parametrize("held", [4, 6, 7])
 def test_an_engine_that_stalls_is_pressed(held):
     yard = Yard(engines=1)
