--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -270,7 +270,7 @@
         able = [q for q in self.queues.values() if q.waiting]
         while able:
             queue = self._draw(able)
-            # Danger: heavy draws take slots like light ones. Where a queue waits at all, its lightest go first.
+            # Danger: heavy draws take slots like light ones. Where a queue waits, its lightest go first.
             for sub in nsmallest(LAST, queue.waiting, key=lambda each: each.work):
                 engine = self._choose(sub)
                 if engine:
