--- a/corkgauge/interface.py
+++ b/corkgauge/interface.py
@@ -13,8 +13,8 @@
 NEVER_RAN = (FULL, UNREACHED, MOOT)
 # States of an engine.
 GONE, READY, DRAINING = range(3)
-# What a note from an engine tells.
-PROGRESS, SPILLS, LINES_UP = 1, 2, 3
+# The one sort of note that the gateway acts on; any is a sign of its engine.
+PROGRESS = 1
 # What a repeat does.
 REDOABLE, LABELLED, IRREVERSIBLE = range(3)
 
