--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -12,6 +12,7 @@
 
 from collections import deque
 from heapq import nsmallest
+from itertools import accumulate
 from statistics import fmean, median
 from struct import pack
 from zlib import crc32
@@ -21,6 +22,7 @@
                                  Submission)
 
 SECOND = 10_000
+MOMENT = SECOND // 50   # that a figure of all engines stands
 PERIOD = 2 * SECOND     # of the feedback
 SIGMA = 0.05            # most that a share moves in a period
 INTERVALS = 5           # that the linear model sees
@@ -58,13 +60,13 @@
 class View:
     """The last few things seen of one engine."""
 
-    def __init__(self) -> None:
+    def __init__(self, spent: deque[tuple[int, float]]) -> None:
         self.slowness: deque[float] = deque(maxlen=LAST)    # time taken over the time of the work alone
         self.faults: deque[str] = deque(maxlen=LAST)        # one for each outcome; empty: a good answer
         self.heard = -1                                     # when it last gave a sign of its own
         self.rests_until = self.refused_until = -1
         self.bound = 1.0
-        self.spent: deque[tuple[int, float]] = deque()      # when, and usual work sent
+        self.spent = spent                                  # when, and usual work sent
         self.out: list[HandOff] = []
         self.load = -1.0                                    # submissions it last reported to hold
         self.found = (-1, 0.0)                              # when slow() was worked out, and its figure
@@ -88,12 +90,10 @@
     """One workload manager's decisions."""
 
     def __init__(self, host: Host, *, seed: int, gateways: int, tick: int, offerings: list[Offering],
-                 cores: list[float], memory: list[float], most_grant: float, priorities: bool,
-                 cancels: bool, copies: bool, most_handoffs: int, come_back: int,
+                 priorities: bool, cancels: bool, copies: bool, most_handoffs: int, come_back: int,
                  cold_share: float, cold_span: int, fall_multiple: float, fall_span: int,
                  extra_floor: float, extra_share: float, extra_span: int, settle: int) -> None:
-        self.host, self.seed, self.drawn, self.cores, self.born = host, seed, 0, cores, host.now
-        self.grants = [most_grant * m for m in memory]
+        self.host, self.seed, self.drawn, self.born = host, seed, 0, host.now
         self.priorities, self.cancels, self.copies = priorities, cancels, copies
         self.most_handoffs, self.come_back, self.settle = most_handoffs, come_back, settle
         self.margin = 2 * tick + 10                 # an ending decided this long before expiry is in time
@@ -108,7 +108,7 @@
         self.lines: dict[int, deque[Submission]] = {}       # by key, in the order taken
         self.rests: dict[int, int] = {}                     # by key: a hand-off may still run until then
         self.taken, self.extras = deque[int](), deque[int]()    # when, within the budget's span
-        self.best, self.usual_work = UNSEEN, 0.0
+        self.best, self.usual_work, self.usual = UNSEEN, 0.0, (-1, UNSEEN)
         self.bound_ones = [offering for offering in offerings if offering.kinds or offering.halls]
         for offering in offerings:
             offering.samples = deque(maxlen=LAST_ANSWERS)   # work, memory: true over estimate; true work
@@ -116,15 +116,13 @@
 
     # What can happen.
 
-    def engine_told(self, engine: Engine, state: int, weight: float, started: int) -> None:
+    def engine_told(self, engine: Engine, state: int, started: int) -> None:
         """The list names an engine; a drain or departure holds from this moment."""
         if engine.view is None or started > engine.started:
-            spent = engine.view.spent if engine.view else deque()
-            engine.view, engine.threads = View(), 0
-            engine.view.spent = spent
+            engine.view, engine.threads = View(engine.view.spent if engine.view else deque()), 0
         if engine.state != READY and state == READY:
             engine.view.rests_until = -1
-        engine.state, engine.weight, engine.started = state, weight, started
+        engine.state, engine.started = state, started
         if engine not in self.engines:
             self.engines.append(engine)
 
@@ -259,11 +257,8 @@
     def _draw(self, queues: list[Queue]) -> Queue:
         self.drawn += 1
         ticket = crc32(pack("<QQ", self.seed, self.drawn)) / 2 ** 32 * sum(q.share for q in queues)
-        for queue in queues:
-            ticket -= queue.share
-            if ticket < 0:
-                return queue
-        return queues[-1]
+        tops = zip(queues, accumulate(queue.share for queue in queues))
+        return next((queue for queue, top in tops if ticket < top), queues[-1])
 
     def _pump(self) -> None:
         """Fill free slots by lottery among the queues that can use one."""
@@ -306,22 +301,29 @@
         """The engine for the next hand-off; None while all that it may use are full."""
         if sub.handoffs and not (self._may_again(sub) and self._extra_left()):
             return None
-        may = [e for e in self._order(sub.tables) if self._may(sub, e)]
+        usual, tried = self._usual_slowness(), [h.engine for h in sub.handoffs]
+        order = self._order(sub.tables)
         # Danger: engines that fail, are silent or refuse. Never all of them at once: when none does well,
         # the trouble is likely not theirs, and all are used.
-        well = [e for e in may if self._well(e)] or may
-        tried = [h.engine for h in sub.handoffs]
-        well = [e for e in well if e not in tried] or well
-        usual = self._usual_slowness()
-        free = [n for n, e in enumerate(well) if not self._full(e, sub.offering, usual)]
-        free = [n for n in free if n < NEAR] or free[:NEAR]
-        best = min(free, key=lambda n: self._crowd(well[n], sub.offering, usual) + HOME * n, default=None)
-        return None if best is None else well[best]
+        for well, fresh in (True, True), (True, False), (False, True), (False, False):
+            near: list[tuple[float, int]] = []
+            seen = 0
+            for n, engine in enumerate(order):
+                if (engine not in tried or not fresh) and self._may(sub, engine) and (
+                        not well or self._well(engine)):
+                    seen += 1
+                    if not self._full(engine, sub.offering, usual):
+                        near.append((self._crowd(engine, sub.offering, usual) + HOME * seen, n))
+                    if near and seen >= NEAR:
+                        break
+            if seen:
+                return order[min(near)[1]] if near else None
+        return None
 
     def _may(self, sub: Submission, engine: Engine) -> bool:
         """The rules on where a submission may go."""
         offering = sub.offering
-        if engine.state != READY or not self._placed(offering, engine):
+        if not self._placed(offering, engine):
             return False
         first = next((h for h in sub.handoffs if h.outcome not in NEVER_RAN), None)
         if first is not None and offering.repeat == LABELLED and (
@@ -343,10 +345,7 @@
         # Danger: a gateway that restarts does not know what it sent before.
         if since < self.born:
             return 0.0
-        return self.cold_part * self._cores(engine) - sum(w for when, w in engine.view.spent if when > since)
-
-    def _cores(self, engine: Engine) -> float:
-        return self.cores[engine.kind] if engine.kind < len(self.cores) else 1.0
+        return self.cold_part * engine.cores - sum(w for when, w in engine.view.spent if when > since)
 
     def _well(self, engine: Engine) -> bool:
         """Not at rest; after a rest one hand-off tells, whatever long ones are still out from before."""
@@ -354,20 +353,18 @@
         return self.host.now >= view.rests_until and (
             view.trusted() or all(h.sent < view.rests_until for h in view.out))
 
-    def _pressed(self, engine: Engine, usual: float) -> bool:
-        """Latency well above its best, a full refusal, or a report of a submission a core."""
-        view, now = engine.view, self.host.now
-        return ((view.load >= self._cores(engine) and now < view.heard + PERIOD) or
-                now < view.refused_until or view.slow(now, usual) > PRESSED * self.best)
-
     def _full(self, engine: Engine, offering: Offering, usual: float) -> bool:
-        """The bound acts under pressure only; an engine that holds nothing of ours takes one."""
+        """The bound acts under pressure only: latency well above its best, a full refusal, or a report of a
+        submission a core. An engine that holds nothing of ours takes one."""
         # Danger: heavy hand-offs hold slots for long and crowd the light ones out.
         light = LIGHT if self._usual_work(offering) < self.usual_work else 1
-        slots = light * engine.view.bound * self.slots * self._cores(engine)
+        slots = light * engine.view.bound * self.slots * engine.cores
+        view, now = engine.view, self.host.now
+        pressed = ((view.load >= engine.cores and now < view.heard + PERIOD) or now < view.refused_until or
+                   view.slow(now, usual) > PRESSED * self.best)
         # Danger: between two bad samples the bound would not act, and a whole queue goes out at once.
-        if not self._pressed(engine, usual):
-            slots = max(slots, CROWDED * self._cores(engine))
+        if not pressed:
+            slots = max(slots, CROWDED * engine.cores)
         return 0 < engine.threads > slots - offering.threads
 
     def _crowd(self, engine: Engine, offering: Offering, usual: float) -> float:
@@ -377,11 +374,14 @@
         # Danger: offerings that may go anywhere fill the few engines that others are bound to.
         kept = KEPT * (not offering.kinds and not offering.halls and any(
             self._placed(bound, engine) for bound in self.bound_ones))
-        return (engine.threads + offering.threads) / self._cores(engine) * pace + kept
+        return (engine.threads + offering.threads) / engine.cores * pace + kept
 
     def _usual_slowness(self) -> float:
-        seen = [slow for e in self.engines if (slow := e.view.slow(self.host.now, 0.0))]
-        return median(seen) if seen else UNSEEN
+        """The median of all engines; worked out once in a while, since every event asks for it."""
+        if self.host.now >= self.usual[0]:
+            seen = [slow for e in self.engines if (slow := e.view.slow(self.host.now, 0.0))]
+            self.usual = self.host.now + MOMENT, median(seen) if seen else UNSEEN
+        return self.usual[1]
 
     def _fault(self, engine: Engine, why: str) -> None:
         """An engine did badly: it rests, twice as long each time among its last few."""
@@ -402,7 +402,7 @@
         self._unqueue(sub)
         if sub.handoffs:
             self.extras.append(now)
-        if self.priorities or self.grants:
+        if self.priorities or engine.most_memory:
             leads = sub.queue.share * len(self.queues) >= 0.999
             self.host.set_terms(sub, self._grant(sub, engine), 3 if leads else 2)
         handoff = HandOff(sub, engine, len(sub.handoffs), now, max(sub.work / offering.threads, 1))
@@ -418,9 +418,9 @@
     def _grant(self, sub: Submission, engine: Engine) -> float:
         """Memory as estimated, corrected by what answers told; 0 leaves it to the engine."""
         ratios = sorted(need for _, need, _ in sub.offering.samples if need)
-        if not self.grants or not sub.memory or len(ratios) < LAST:
+        if not sub.memory or len(ratios) < LAST:
             return 0.0
-        return min(sub.memory * ratios[int(0.85 * len(ratios))], self.grants[engine.kind])
+        return min(sub.memory * ratios[int(0.85 * len(ratios))], engine.most_memory)
 
     def _rescue(self, handoff: HandOff) -> None:
         """Try a hand-off that does badly elsewhere: called off first, or a second copy."""
@@ -428,8 +428,7 @@
         if handoff.called_off or sub.queued or not (self._may_again(sub) and self._extra_left()):
             return
         if self.cancels:
-            handoff.called_off = True
-            self.host.call_off(handoff)
+            self._call_off(handoff)
         elif self.copies and sum(h.out for h in sub.handoffs) < 2:
             self._join(sub)
 
@@ -468,13 +467,15 @@
         self._unqueue(sub)
         sub.over = True
         sub.queue.badness.append(latency / max(sub.aim, 1))
-        if self.cancels:
-            for handoff in sub.handoffs:
-                if handoff.out and not handoff.called_off:
-                    handoff.called_off = True
-                    self.host.call_off(handoff)
+        for handoff in sub.handoffs:
+            if self.cancels and handoff.out and not handoff.called_off:
+                self._call_off(handoff)
         self.turn(sub.key)
 
+    def _call_off(self, handoff: HandOff) -> None:
+        handoff.called_off = True
+        self.host.call_off(handoff)
+
     def turn(self, key: int) -> None:
         """Let the next of a key go, once all before it are over and their hand-offs have outcomes."""
         line, now = self.lines.get(key), self.host.now
--- a/corkgauge/drill/door.py
+++ b/corkgauge/drill/door.py
@@ -28,6 +28,8 @@
         self.nonce = 0
         self.offerings: list[Offering] = []
         self.fields: list[str] = []
+        self.cores: dict[int, float] = {}
+        self.most_memory: dict[int, float] = {}
         self.bills = False
 
     # What the gateway may do.
@@ -67,6 +69,9 @@
         rules, limits = said.get("rules", {}), said.get("limits", {})
         extra, report = said.get("extra", {}), said.get("report", {})
         self.fields = list(report.get("fields", []))
+        self.cores = dict(enumerate(map(float, extra.get("coresByKind", []))))
+        most = figure(extra, "mostGrant", 1.0, 0) if extra.get("takesGrants") else 0.0
+        self.most_memory = {kind: most * size for kind, size in enumerate(extra.get("sizeMb", []))}
         self.bills = bool(extra.get("bills"))
         widths = extra.get("widthByClass", [])
         self.offerings = [offering(p, n, widths) for n, p in enumerate(said.get("profiles", []))]
@@ -75,9 +80,7 @@
         self.gateway = Gateway(
             self, seed=seed, gateways=figure(said, "instances", 1, 1),
             tick=-(-figure(said, "periodUs", 1000) // 100), offerings=self.offerings,
-            cores=[float(c) for c in extra.get("coresByKind", [])],
-            memory=[float(m) for m in extra.get("sizeMb", [])] if extra.get("takesGrants") else [],
-            most_grant=figure(extra, "mostGrant", 1.0, 0), priorities=bool(extra.get("takesPriority")),
+            priorities=bool(extra.get("takesPriority")),
             cancels=bool(limits.get("cancel")), copies=bool(limits.get("secondCopies")),
             most_handoffs=figure(limits, "mostTries", 1, 1),
             come_back=figure(limits, "maxRetryAfterUs", 0) // 100 if limits.get("retryAfter") else 0,
@@ -95,13 +98,15 @@
             named = {entry[0] for entry in entries}
             for tag, engine in self.engines.items():
                 if tag not in named:
-                    self.gateway.engine_told(engine, GONE, engine.weight, engine.started)
-        for tag, hall, kind, cell, state, weight, since in entries:
+                    self.gateway.engine_told(engine, GONE, engine.started)
+        for tag, hall, kind, cell, state, _, since in entries:
             engine = self.engines.get(tag)
             if engine is None:
                 engine = self.engines[tag] = Engine(tag, tag, hall, kind, cell)
             engine.hall, engine.kind, engine.cell = hall, kind, cell
-            self.gateway.engine_told(engine, state, weight, since // 100)
+            engine.cores = self.cores.get(kind, 1.0)
+            engine.most_memory = self.most_memory.get(kind, 0.0)
+            self.gateway.engine_told(engine, state, since // 100)
         self.gateway.list_told()
 
     def demand(self, tag: int, tables: float, kind: int, memory: float, marks: int, estimate: int,
--- a/corkgauge/interface.py
+++ b/corkgauge/interface.py
@@ -47,8 +47,9 @@
     hall: int
     kind: int
     cell: int
+    cores: float = 1.0
+    most_memory: float = 0.0    # MB that one hand-off is granted at most; 0: grants are not heeded
     state: int = GONE
-    weight: float = 1.0
     started: int = 0
     threads: int = 0            # threads of this gateway's hand-offs out there
     view: Any = None            # the gateway's last few measurements
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -70,7 +70,7 @@
 def test_a_queue_that_waits_releases_its_lightest_first():
     yard = Yard(engines=0)
     subs = [yard.take(estimate=work) for work in (5000, 900, 3000)]
-    yard.tell(Engine("e", b"e", hall=0, kind=0, cell=0))
+    yard.tell(Engine("e", b"e", 0, 0, 0, cores=8.0))
     assert [tag for tag, _ in yard.said("hand_off")] == [subs[n].tag for n in (1, 2, 0)]
 
 
--- a/tests/yard.py
+++ b/tests/yard.py
@@ -5,10 +5,9 @@
 
 SECOND = 10_000
 QUICK = dict(name="quick", aim=SECOND, stretch=1.0, expiry=5 * SECOND, worth=1.0)
-STATED = dict(seed=7, gateways=2, tick=10, cores=[8.0, 8.0], memory=[], most_grant=0.5,
-              priorities=True, cancels=False, copies=False, most_handoffs=4, come_back=0,
-              cold_share=0.3, cold_span=15 * SECOND, fall_multiple=2.0, fall_span=SECOND, extra_floor=0.0,
-              extra_share=0.0, extra_span=0, settle=0)
+STATED = dict(seed=7, gateways=2, tick=10, priorities=True, cancels=False, copies=False, most_handoffs=4,
+              come_back=0, cold_share=0.3, cold_span=15 * SECOND, fall_multiple=2.0, fall_span=SECOND,
+              extra_floor=0.0, extra_share=0.0, extra_span=0, settle=0)
 
 
 class Yard:
@@ -18,12 +17,12 @@
         self.now, self.done, self.wakes, self.serial = 100 * SECOND, [], [], 0
         self.offerings = [Offering(**o) for o in offerings]
         self.gateway = Gateway(self, offerings=self.offerings, **{**STATED, **stated})
-        self.engines = [Engine(f"e{n}", b"e%d" % n, hall=n % 2, kind=n % 2, cell=n) for n in range(engines)]
+        self.engines = [Engine(f"e{n}", b"e%d" % n, n % 2, n % 2, n, cores=8.0) for n in range(engines)]
         self.tell(*self.engines)
 
     def tell(self, *engines, state=READY, started=0):
         for engine in engines:
-            self.gateway.engine_told(engine, state, 1.0, started)
+            self.gateway.engine_told(engine, state, started)
         self.gateway.list_told()
 
     def take(self, offering=0, **said):
