--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -19,10 +19,10 @@
 
 from corkgauge.interface import (CALLED_OFF, ERROR, FULL, HONOURED, LABELLED, NEVER_RAN, PROGRESS, READY,
                                  REDOABLE, RESET, TIMED_OUT, UNREACHED, Engine, HandOff, Host, Offering,
-                                 Submission)
+                                 Queue, Submission, View)
 
 SECOND = 10_000
-MOMENT = SECOND // 50   # that a figure of all engines stands
+MOMENT = SECOND // 50   # that a figure of many samples stands
 PERIOD = 2 * SECOND     # of the feedback
 SIGMA = 0.05            # most that a share moves in a period
 INTERVALS = 5           # that the linear model sees
@@ -38,6 +38,7 @@
 HOME = 0.25             # threads a core by which the next in order must be emptier, as its tables are cold
 KEPT = 1.0              # the same, for an engine that offerings bound to some engines need
 NEAR = 3                # engines of the hashed order that are looked at first
+EVEN = 1.25             # of an engine's part of the gateway's last work, before the order goes further
 LAST = 8                # samples kept for an engine
 LAST_ANSWERS = 48       # and for an offering
 SILENT = 6.0            # usual lifetimes, of all hand-offs out together, without a sign
@@ -46,46 +47,6 @@
 OWN_EXTRA = 10, 0.5, 5 * SECOND  # budget for further hand-offs where none is stated
 
 
-class Queue:
-    """The submissions of one tenant and offering that wait for a slot."""
-
-    def __init__(self, offering: Offering) -> None:
-        self.offering = offering
-        self.waiting: list[Submission] = []
-        self.share = 0.0
-        self.badness: list[float] = []                      # latency over promised time, this interval
-        self.model: deque[tuple[float, float]] = deque(maxlen=INTERVALS)   # share, p
-
-
-class View:
-    """The last few things seen of one engine."""
-
-    def __init__(self, spent: deque[tuple[int, float]]) -> None:
-        self.slowness: deque[float] = deque(maxlen=LAST)    # time taken over the time of the work alone
-        self.faults: deque[str] = deque(maxlen=LAST)        # one for each outcome; empty: a good answer
-        self.heard = -1                                     # when it last gave a sign of its own
-        self.rests_until = self.refused_until = -1
-        self.bound = 1.0
-        self.spent = spent                                  # when, and usual work sent
-        self.out: list[HandOff] = []
-        self.load = -1.0                                    # submissions it last reported to hold
-        self.found = (-1, 0.0)                              # when slow() was worked out, and its figure
-
-    def slow(self, now: int, otherwise: float) -> float:
-        """The median slowness of the last answers, and of what is out longer than those took."""
-        if self.found[0] != now:
-            usual = median(self.slowness) if len(self.slowness) >= 3 else 0.0
-            # Danger: an engine that stalls or slows sends no bad samples; its silence must count as one.
-            ages = [(now - h.sent) / h.due for h in self.out]
-            seen = [*self.slowness, *(age for age in ages if age > max(usual, UNSEEN))]
-            self.found = now, median(seen) if len(seen) >= 3 else 0.0
-        return self.found[1] or otherwise
-
-    def trusted(self) -> bool:
-        """After a lost connection or silence one good answer is enough; errors may come between good ones."""
-        return self.faults.count("error") < 2 and not (self.faults and self.faults[-1])
-
-
 class Gateway:
     """One workload manager's decisions."""
 
@@ -103,6 +64,7 @@
         self.cold_share, self.cold_span, self.fall_span = cold_share, cold_span, fall_span
         self.extra = (extra_floor, extra_share, extra_span) if extra_span else OWN_EXTRA
         self.engines: list[Engine] = []
+        self.last: deque[tuple[View, float]] = deque()      # hand-offs: where, and usual work
         self.orders: dict[float, list[Engine]] = {}
         self.queues: dict[tuple[int, Offering], Queue] = {}
         self.lines: dict[int, deque[Submission]] = {}       # by key, in the order taken
@@ -112,6 +74,7 @@
         self.bound_ones = [offering for offering in offerings if offering.kinds or offering.halls]
         for offering in offerings:
             offering.samples = deque(maxlen=LAST_ANSWERS)   # work, memory: true over estimate; true work
+            offering.usual = self._usual_work(offering)
         host.wake(PERIOD, self.interval_over)
 
     # What can happen.
@@ -119,7 +82,8 @@
     def engine_told(self, engine: Engine, state: int, started: int) -> None:
         """The list names an engine; a drain or departure holds from this moment."""
         if engine.view is None or started > engine.started:
-            engine.view, engine.threads = View(engine.view.spent if engine.view else deque()), 0
+            engine.view, engine.threads = View(
+                engine.view.spent if engine.view else deque(), deque(maxlen=LAST), deque(maxlen=LAST)), 0
         if engine.state != READY and state == READY:
             engine.view.rests_until = -1
         engine.state, engine.started = state, started
@@ -138,7 +102,7 @@
         self.taken.append(now)
         queue = self.queues.get((sub.tenant, offering))
         if queue is None:
-            queue = self.queues[sub.tenant, offering] = Queue(offering)
+            queue = self.queues[sub.tenant, offering] = Queue(offering, deque(maxlen=INTERVALS))
             for each in self.queues.values():
                 each.share = 1 / len(self.queues)
         sub.queue = queue
@@ -215,7 +179,7 @@
     def interval_over(self) -> None:
         """Feedback: shares move a bounded step towards equal weighted badness."""
         self.host.wake(PERIOD, self.interval_over)
-        self.usual_work = fmean([self._usual_work(q.offering) for q in self.queues.values()] or [0.0])
+        self.usual_work = fmean([queue.offering.usual for queue in self.queues.values()] or [0.0])
         moving = [queue for queue in self.queues.values() if queue.badness]
         for queue in moving:
             late = sorted(queue.badness)
@@ -236,7 +200,7 @@
             rise = sum((a - mean_a) * (q - mean_p) for a, q in queue.model)
             slope = max(rise / spread if spread > 1e-9 else 0.0, 1.0)
             # Earnings for the time that a slot is held: per offering alone, heavy ones would take them all.
-            weight = queue.offering.worth * SECOND / self._usual_work(queue.offering)
+            weight = queue.offering.worth * SECOND / queue.offering.usual
             lines.append((queue, share, p, slope, weight))
         total = sum(queue.share for queue in moving)
 
@@ -303,21 +267,25 @@
             return None
         usual, tried = self._usual_slowness(), [h.engine for h in sub.handoffs]
         order = self._order(sub.tables)
+        even = EVEN * sum(e.view.drawn for e in order) / max(sum(e.cores for e in order), 1)
         # Danger: engines that fail, are silent or refuse. Never all of them at once: when none does well,
         # the trouble is likely not theirs, and all are used.
         for well, fresh in (True, True), (True, False), (False, True), (False, False):
-            near: list[tuple[float, int]] = []
-            seen = 0
+            near, spare, seen = [], [], 0
             for n, engine in enumerate(order):
                 if (engine not in tried or not fresh) and self._may(sub, engine) and (
                         not well or self._well(engine)):
                     seen += 1
                     if not self._full(engine, sub.offering, usual):
-                        near.append((self._crowd(engine, sub.offering, usual) + HOME * seen, n))
+                        # Danger: a gateway that holds one hand-off at a time sees no crowd at a home that all
+                        # gateways share; so its last work is spread by cores, whatever is out.
+                        over = engine.view.drawn > even * engine.cores + sub.offering.usual
+                        (spare if over else near).append(
+                            (self._crowd(engine, sub.offering, usual) + HOME * seen, n))
                     if near and seen >= NEAR:
                         break
             if seen:
-                return order[min(near)[1]] if near else None
+                return order[min(near or spare)[1]] if near or spare else None
         return None
 
     def _may(self, sub: Submission, engine: Engine) -> bool:
@@ -330,7 +298,7 @@
                 (offering.group == "zone" and engine.hall != first.engine.hall) or
                 (offering.group == "cell" and engine.cell != first.engine.cell)):
             return False
-        return not self._cold(engine) or self._cold_left(engine) >= self._usual_work(offering)
+        return not self._cold(engine) or self._cold_left(engine) >= offering.usual
 
     def _placed(self, offering: Offering, engine: Engine) -> bool:
         return (not offering.halls or engine.hall in offering.halls) and (
@@ -351,17 +319,17 @@
         """Not at rest; after a rest one hand-off tells, whatever long ones are still out from before."""
         view = engine.view
         return self.host.now >= view.rests_until and (
-            view.trusted() or all(h.sent < view.rests_until for h in view.out))
+            self._trusted(view) or all(h.sent < view.rests_until for h in view.out))
 
     def _full(self, engine: Engine, offering: Offering, usual: float) -> bool:
         """The bound acts under pressure only: latency well above its best, a full refusal, or a report of a
         submission a core. An engine that holds nothing of ours takes one."""
         # Danger: heavy hand-offs hold slots for long and crowd the light ones out.
-        light = LIGHT if self._usual_work(offering) < self.usual_work else 1
+        light = LIGHT if offering.usual < self.usual_work else 1
         slots = light * engine.view.bound * self.slots * engine.cores
         view, now = engine.view, self.host.now
         pressed = ((view.load >= engine.cores and now < view.heard + PERIOD) or now < view.refused_until or
-                   view.slow(now, usual) > PRESSED * self.best)
+                   self._slow(view, usual) > PRESSED * self.best)
         # Danger: between two bad samples the bound would not act, and a whole queue goes out at once.
         if not pressed:
             slots = max(slots, CROWDED * engine.cores)
@@ -369,17 +337,32 @@
 
     def _crowd(self, engine: Engine, offering: Offering, usual: float) -> float:
         """This gateway's threads a core, were it sent there; a slower engine has fewer cores in effect."""
-        pace = max(1.0, engine.view.slow(self.host.now, usual) / usual,
+        pace = max(1.0, self._slow(engine.view, usual) / usual,
                    1 / self.cold_share if self._cold(engine) else 1)
         # Danger: offerings that may go anywhere fill the few engines that others are bound to.
         kept = KEPT * (not offering.kinds and not offering.halls and any(
             self._placed(bound, engine) for bound in self.bound_ones))
         return (engine.threads + offering.threads) / engine.cores * pace + kept
 
+    def _slow(self, view: View, otherwise: float) -> float:
+        """The median slowness of an engine's last answers, and of what is out longer than those took."""
+        now = self.host.now
+        if now >= view.slow_until:
+            usual = median(view.slowness) if len(view.slowness) >= 3 else 0.0
+            # Danger: an engine that stalls or slows sends no bad samples; its silence must count as one.
+            ages = [(now - h.sent) / h.due for h in view.out]
+            seen = [*view.slowness, *(age for age in ages if age > max(usual, UNSEEN))]
+            view.slow_until, view.slow = now + MOMENT, median(seen) if len(seen) >= 3 else 0.0
+        return view.slow or otherwise
+
+    def _trusted(self, view: View) -> bool:
+        """After a lost connection or silence one good answer is enough; errors may come between good ones."""
+        return view.faults.count("error") < 2 and not (view.faults and view.faults[-1])
+
     def _usual_slowness(self) -> float:
         """The median of all engines; worked out once in a while, since every event asks for it."""
         if self.host.now >= self.usual[0]:
-            seen = [slow for e in self.engines if (slow := e.view.slow(self.host.now, 0.0))]
+            seen = [slow for e in self.engines if (slow := self._slow(e.view, 0.0))]
             self.usual = self.host.now + MOMENT, median(seen) if seen else UNSEEN
         return self.usual[1]
 
@@ -409,9 +392,14 @@
         sub.handoffs.append(handoff)
         engine.threads += offering.threads
         engine.view.out.append(handoff)
-        engine.view.spent.append((now, self._usual_work(offering)))
+        engine.view.spent.append((now, offering.usual))
         while engine.view.spent and engine.view.spent[0][0] <= now - self.fall_span:
             engine.view.spent.popleft()
+        engine.view.drawn += offering.usual
+        self.last.append((engine.view, offering.usual))
+        if len(self.last) > LAST * len(self.engines):
+            view, work = self.last.popleft()
+            view.drawn -= work
         self.host.hand_off(handoff, max(1, sub.taken + sub.life - now - self.margin // 2))
         self.host.wake(int(max(0.5 * sub.aim, 2 * self._time_of(sub))), self.patience_over, handoff)
 
@@ -502,12 +490,13 @@
             return      # it speaks of the engine before its restart
         if outcome == HONOURED:
             view.heard = now
-            if not view.trusted():
+            if not self._trusted(view):
                 self.host.log(f"back {engine.mark.hex()} faults={sum(map(bool, view.faults))}")
             view.faults.append("")
             alone = max((work or sub.work) / offering.threads, 1)
             ratios = work / max(sub.estimate, 1), need / max(sub.memory, 1.0)
             offering.samples.append((*ratios, work or sub.work))
+            offering.usual = self._usual_work(offering)
             view.slowness.append(max(took, 1) / alone)
             if len(view.slowness) >= 3:
                 self.best = min(self.best, max(1.0, median(view.slowness)))
@@ -527,7 +516,7 @@
     def _expected_work(self, sub: Submission) -> float:
         """The work of a submission: its estimate, corrected by what this offering's answers told."""
         if not sub.estimate:
-            return self._usual_work(sub.offering)
+            return sub.offering.usual
         ratios = [ratio for ratio, _, _ in sub.offering.samples if ratio]    # none where answers do not tell
         return sub.estimate * (median(ratios) if len(ratios) >= LAST else 1.0)
 
--- a/corkgauge/interface.py
+++ b/corkgauge/interface.py
@@ -36,6 +36,7 @@
     kinds: tuple[int, ...] = ()
     threads: int = 1
     samples: Any = None         # the gateway's last few answers
+    usual: float = 0.0          # work, as they tell it
 
 
 @dataclass(eq=False, slots=True)
@@ -55,6 +56,35 @@
     view: Any = None            # the gateway's last few measurements
 
 
+@dataclass(eq=False, slots=True)
+class View:
+    """The last few things that one gateway has seen of one engine."""
+
+    spent: Any                  # when, and usual work sent
+    slowness: Any               # time taken over the time of the work alone
+    faults: Any                 # one for each outcome; empty: a good answer
+    heard: int = -1             # when it last gave a sign of its own
+    rests_until: int = -1
+    refused_until: int = -1
+    bound: float = 1.0          # of its slots, over where they start
+    load: float = -1.0          # submissions that it last reported to hold
+    drawn: float = 0.0          # usual work among the gateway's last hand-offs
+    slow: float = 0.0           # how slow it is, and until when that figure stands
+    slow_until: int = -1
+    out: list["HandOff"] = field(default_factory=list)
+
+
+@dataclass(eq=False, slots=True)
+class Queue:
+    """The submissions of one tenant and offering that wait for a slot."""
+
+    offering: Offering
+    model: Any                  # the last few intervals: share, p
+    share: float = 0.0
+    badness: list[float] = field(default_factory=list)   # latency over promised time, this interval
+    waiting: list["Submission"] = field(default_factory=list)
+
+
 @dataclass(eq=False, slots=True)
 class Submission:
     """What a client asked for; the gateway owes it one final answer."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -232,3 +232,11 @@
             for handoff in yard.take().handoffs:
                 yard.over(handoff, outcome, took=2000)
         assert least <= engine.view.bound <= most and engine.view.bound != 1.0
+
+
+def test_a_gateway_with_little_traffic_spreads_a_hot_group_over_the_order():
+    yard = Yard(gateways=200, engines=8)
+    for _ in range(64):
+        yard.over(yard.take().handoffs[0], took=2000)
+    engines = [engine for _, engine in yard.said("hand_off")]
+    assert max(engines.count(e) for e in engines) <= 12     # Danger: 200 homes of one group were one engine
