--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -279,7 +279,7 @@
                     if not self._full(engine, sub.offering, usual):
                         # Danger: a gateway that holds one hand-off at a time sees no crowd at a home that all
                         # gateways share; so its last work is spread by cores, whatever is out.
-                        over = engine.view.drawn > even * engine.cores + sub.offering.usual
+                        over = engine.view.drawn > even * engine.cores
                         (spare if over else near).append(
                             (self._crowd(engine, sub.offering, usual) + HOME * seen, n))
                     if near and seen >= NEAR:
