--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -170,7 +170,9 @@
         # Danger: an engine that takes work and answers nothing. Any sign clears it; one long hand-off is no
         # proof: what is out there must, together, have lasted several times what it should since that sign.
         if handoff.out and not handoff.submission.over and view.heard < handoff.sent:
-            if sum((now - max(h.sent, view.heard)) / h.due for h in view.out) > SILENT * usual:
+            # Danger: a small draw alone out there is soon many times late; usual work is what counts.
+            if sum((now - max(h.sent, view.heard)) / max(h.due, h.submission.offering.usual /
+                   h.submission.offering.threads) for h in view.out) > SILENT * usual:
                 self._fault(handoff.engine, "silent")
                 self._rescue(handoff)
             else:
@@ -387,7 +389,9 @@
             self.extras.append(now)
         if self.priorities or engine.most_memory:
             leads = sub.queue.share * len(self.queues) >= 0.999
-            self.host.set_terms(sub, self._grant(sub, engine), 3 if leads else 2)
+            # Danger: heavy draws crowd light ones out on the engine's cores too.
+            step_down = 2 if offering.usual > self.usual_work > 0 else 0
+            self.host.set_terms(sub, self._grant(sub, engine), (3 if leads else 2) - step_down)
         handoff = HandOff(sub, engine, len(sub.handoffs), now, max(sub.work / offering.threads, 1))
         sub.handoffs.append(handoff)
         engine.threads += offering.threads
