--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -31,12 +31,12 @@
 LIGHT = 2.0             # bound for offerings lighter than the others' mean, over that of the heavy
 CROWDED = 1.5           # threads a core that one gateway never passes
 STEP = 0.1              # of the bound
+LEAST_TOLD = 0.4        # of a step of the price, for answers to light work
 LEAST_BOUND = 0.25      # how far refusals push the bound below its start
 UNSEEN = 1.5            # latency over the time of the work alone, before any answer tells
 PRESSED = 2.0           # latency this many times its best means pressure
 WAIT_PART = 0.06        # of a submission's life that it waits in its queue at most
 HOME = 0.25             # threads a core by which the next in order must be emptier, as its tables are cold
-KEPT = 1.0              # the same, for an engine that offerings bound to some engines need
 NEAR = 3                # engines of the hashed order that are looked at first
 EVEN = 1.25             # of an engine's part of the gateway's last work, before the order goes further
 LAST = 8                # samples kept for an engine
@@ -50,18 +50,19 @@
 class Gateway:
     """One workload manager's decisions."""
 
-    def __init__(self, host: Host, *, seed: int, gateways: int, tick: int, offerings: list[Offering],
-                 priorities: bool, cancels: bool, copies: bool, most_handoffs: int, come_back: int,
+    def __init__(self, host: Host, *, seed: int, number: int, gateways: int, tick: int,
+                 offerings: list[Offering], cancels: bool, copies: bool, most_handoffs: int, come_back: int,
                  cold_share: float, cold_span: int, fall_multiple: float, fall_span: int,
                  extra_floor: float, extra_share: float, extra_span: int, settle: int) -> None:
         self.host, self.seed, self.drawn, self.born = host, seed, 0, host.now
-        self.priorities, self.cancels, self.copies = priorities, cancels, copies
-        self.most_handoffs, self.come_back, self.settle = most_handoffs, come_back, settle
+        self.cancels, self.copies, self.settle = cancels, copies, settle
+        self.most_handoffs, self.come_back = most_handoffs, come_back
         self.margin = 2 * tick + 10                 # an ending decided this long before expiry is in time
         self.slots = THREADS_PER_CORE / gateways    # threads a core, where the bound starts
         # A core's worth of work that this gateway may send in a span to an engine that has just started.
         self.cold_part = COLD_SAFETY * 0.85 * fall_multiple * cold_share * fall_span / gateways
         self.cold_share, self.cold_span, self.fall_span = cold_share, cold_span, fall_span
+        self.number, self.gateways, self.stride = number, gateways, max(1, int(gateways * 0.618))
         self.extra = (extra_floor, extra_share, extra_span) if extra_span else OWN_EXTRA
         self.engines: list[Engine] = []
         self.last: deque[tuple[View, float]] = deque()      # hand-offs: where, and usual work
@@ -71,7 +72,7 @@
         self.rests: dict[int, int] = {}                     # by key: a hand-off may still run until then
         self.taken, self.extras = deque[int](), deque[int]()    # when, within the budget's span
         self.best, self.usual_work, self.usual = UNSEEN, 0.0, (-1, UNSEEN)
-        self.bound_ones = [offering for offering in offerings if offering.kinds or offering.halls]
+        self.price = self.least_price = 0.0                 # earnings for work that a release must bring
         for offering in offerings:
             offering.samples = deque(maxlen=LAST_ANSWERS)   # work, memory: true over estimate; true work
             offering.usual = self._usual_work(offering)
@@ -84,8 +85,6 @@
         if engine.view is None or started > engine.started:
             engine.view, engine.threads = View(
                 engine.view.spent if engine.view else deque(), deque(maxlen=LAST), deque(maxlen=LAST)), 0
-        if engine.state != READY and state == READY:
-            engine.view.rests_until = -1
         engine.state, engine.started = state, started
         if engine not in self.engines:
             self.engines.append(engine)
@@ -121,13 +120,11 @@
             self._join(sub)
 
     def submission_left(self, sub: Submission) -> None:
-        """The client has gone; nothing more is owed."""
-        if not sub.over:
+        if not sub.over:    # the client has gone; nothing more is owed
             self._close(sub, sub.life)
 
     def expiry_near(self, sub: Submission) -> None:
-        """The last moment for a final answer."""
-        if not sub.over:
+        if not sub.over:    # the last moment for a final answer
             self._end(sub)
 
     def wait_over(self, sub: Submission, joined: int) -> None:
@@ -167,12 +164,10 @@
 
     def patience_over(self, handoff: HandOff) -> None:
         view, now, usual = handoff.engine.view, self.host.now, self._usual_slowness()
-        # Danger: an engine that takes work and answers nothing. Any sign clears it; one long hand-off is no
-        # proof: what is out there must, together, have lasted several times what it should since that sign.
+        # Danger: an engine that takes work and answers nothing. Any sign clears it; one long or light draw is
+        # no proof: all that is out there must have lasted several times the usual since that sign.
         if handoff.out and not handoff.submission.over and view.heard < handoff.sent:
-            # Danger: a small draw alone out there is soon many times late; usual work is what counts.
-            if sum((now - max(h.sent, view.heard)) / max(h.due, h.submission.offering.usual /
-                   h.submission.offering.threads) for h in view.out) > SILENT * usual:
+            if sum((now - max(h.sent, view.heard)) / max(h.due, h.usual) for h in view.out) > SILENT * usual:
                 self._fault(handoff.engine, "silent")
                 self._rescue(handoff)
             else:
@@ -181,7 +176,11 @@
     def interval_over(self) -> None:
         """Feedback: shares move a bounded step towards equal weighted badness."""
         self.host.wake(PERIOD, self.interval_over)
-        self.usual_work = fmean([queue.offering.usual for queue in self.queues.values()] or [0.0])
+        offerings = [queue.offering for queue in self.queues.values()]
+        self.usual_work = fmean([offering.usual for offering in offerings] or [0.0])
+        self.least_price = min([each.worth / each.usual for each in offerings] or [0.0]) / LAST
+        # Danger: a price that holds all back meets no answer that could lower it.
+        self.price *= 1 - 2 * STEP
         moving = [queue for queue in self.queues.values() if queue.badness]
         for queue in moving:
             late = sorted(queue.badness)
@@ -213,9 +212,8 @@
         for _ in range(60):
             middle = (low + high) / 2
             low, high = (middle, high) if sum(at(middle)) > total else (low, middle)
-        floor = FLOOR / len(self.queues)
         for (queue, *_), share in zip(lines, at(high)):
-            queue.share = max(share, floor)
+            queue.share = max(share, FLOOR / len(self.queues))
         whole = sum(queue.share for queue in self.queues.values())
         for queue in self.queues.values():
             queue.share /= whole
@@ -267,6 +265,9 @@
         """The engine for the next hand-off; None while all that it may use are full."""
         if sub.handoffs and not (self._may_again(sub) and self._extra_left()):
             return None
+        # Danger: hundreds of gateways, each below its bound, overrun the engines together.
+        if sub.work * self.price > sub.offering.worth:
+            return None
         usual, tried = self._usual_slowness(), [h.engine for h in sub.handoffs]
         order = self._order(sub.tables)
         even = EVEN * sum(e.view.drawn for e in order) / max(sum(e.cores for e in order), 1)
@@ -293,29 +294,29 @@
     def _may(self, sub: Submission, engine: Engine) -> bool:
         """The rules on where a submission may go."""
         offering = sub.offering
-        if not self._placed(offering, engine):
+        if (offering.halls and engine.hall not in offering.halls) or (
+                offering.kinds and engine.kind not in offering.kinds):
             return False
         first = next((h for h in sub.handoffs if h.outcome not in NEVER_RAN), None)
         if first is not None and offering.repeat == LABELLED and (
                 (offering.group == "zone" and engine.hall != first.engine.hall) or
                 (offering.group == "cell" and engine.cell != first.engine.cell)):
             return False
-        return not self._cold(engine) or self._cold_left(engine) >= offering.usual
-
-    def _placed(self, offering: Offering, engine: Engine) -> bool:
-        return (not offering.halls or engine.hall in offering.halls) and (
-            not offering.kinds or engine.kind in offering.kinds)
+        return not self._cold(engine) or self._cold_room(engine, offering.usual)
 
     def _cold(self, engine: Engine) -> bool:
         return bool(engine.started) and self.host.now < engine.started + self.cold_span
 
-    def _cold_left(self, engine: Engine) -> float:
-        """Work that this gateway may still send to a cold engine in the present span."""
+    def _cold_room(self, engine: Engine, work: float) -> bool:
+        """May this gateway send so much work to a cold engine in the present span?"""
         since = self.host.now - self.fall_span
+        left = self.cold_part * engine.cores - sum(w for when, w in engine.view.spent if when > since)
+        # Danger: with hundreds of gateways a part is less than one submission, and the engine stands idle.
+        # Then those may send one whose turn it is in this span, by their numbers.
+        span = (self.host.now - engine.started) // self.fall_span
+        turn = ((self.number + span * self.stride) % self.gateways + 0.5) / self.gateways
         # Danger: a gateway that restarts does not know what it sent before.
-        if since < self.born:
-            return 0.0
-        return self.cold_part * engine.cores - sum(w for when, w in engine.view.spent if when > since)
+        return since >= self.born and (work <= left or work * turn * 2 <= left)
 
     def _well(self, engine: Engine) -> bool:
         """Not at rest; after a rest one hand-off tells, whatever long ones are still out from before."""
@@ -328,23 +329,21 @@
         submission a core. An engine that holds nothing of ours takes one."""
         # Danger: heavy hand-offs hold slots for long and crowd the light ones out.
         light = LIGHT if offering.usual < self.usual_work else 1
-        slots = light * engine.view.bound * self.slots * engine.cores
+        # Danger: with hundreds of gateways a part is less than one submission, and the busy ones starve.
+        slots = light * engine.view.bound * max(self.slots * engine.cores, offering.threads)
         view, now = engine.view, self.host.now
         pressed = ((view.load >= engine.cores and now < view.heard + PERIOD) or now < view.refused_until or
                    self._slow(view, usual) > PRESSED * self.best)
         # Danger: between two bad samples the bound would not act, and a whole queue goes out at once.
         if not pressed:
             slots = max(slots, CROWDED * engine.cores)
-        return 0 < engine.threads > slots - offering.threads
+        return 0 < engine.threads > slots - offering.threads or now < view.refused_until
 
     def _crowd(self, engine: Engine, offering: Offering, usual: float) -> float:
         """This gateway's threads a core, were it sent there; a slower engine has fewer cores in effect."""
         pace = max(1.0, self._slow(engine.view, usual) / usual,
                    1 / self.cold_share if self._cold(engine) else 1)
-        # Danger: offerings that may go anywhere fill the few engines that others are bound to.
-        kept = KEPT * (not offering.kinds and not offering.halls and any(
-            self._placed(bound, engine) for bound in self.bound_ones))
-        return (engine.threads + offering.threads) / engine.cores * pace + kept
+        return (engine.threads + offering.threads) / engine.cores * pace
 
     def _slow(self, view: View, otherwise: float) -> float:
         """The median slowness of an engine's last answers, and of what is out longer than those took."""
@@ -387,12 +386,13 @@
         self._unqueue(sub)
         if sub.handoffs:
             self.extras.append(now)
-        if self.priorities or engine.most_memory:
-            leads = sub.queue.share * len(self.queues) >= 0.999
-            # Danger: heavy draws crowd light ones out on the engine's cores too.
-            step_down = 2 if offering.usual > self.usual_work > 0 else 0
-            self.host.set_terms(sub, self._grant(sub, engine), (3 if leads else 2) - step_down)
-        handoff = HandOff(sub, engine, len(sub.handoffs), now, max(sub.work / offering.threads, 1))
+        priority = 3 if sub.queue.share * len(self.queues) >= 0.999 else 2
+        # Danger: heavy draws crowd light ones out on the engine's cores too; one in order holds its line.
+        if sub.work > self.usual_work > 0 and not offering.ordered:
+            priority -= 2
+        self.host.set_terms(sub, self._grant(sub, engine), priority)
+        handoff = HandOff(sub, engine, len(sub.handoffs), now, max(sub.work / offering.threads, 1),
+                          offering.usual / offering.threads)
         sub.handoffs.append(handoff)
         engine.threads += offering.threads
         engine.view.out.append(handoff)
@@ -410,9 +410,8 @@
     def _grant(self, sub: Submission, engine: Engine) -> float:
         """Memory as estimated, corrected by what answers told; 0 leaves it to the engine."""
         ratios = sorted(need for _, need, _ in sub.offering.samples if need)
-        if not sub.memory or len(ratios) < LAST:
-            return 0.0
-        return min(sub.memory * ratios[int(0.85 * len(ratios))], engine.most_memory)
+        known = sub.memory and len(ratios) >= LAST
+        return min(sub.memory * ratios[int(0.85 * len(ratios))], engine.most_memory) if known else 0.0
 
     def _rescue(self, handoff: HandOff) -> None:
         """Try a hand-off that does badly elsewhere: called off first, or a second copy."""
@@ -429,19 +428,16 @@
         if len(sub.handoffs) >= self.most_handoffs:
             return False
         ran = [h for h in sub.handoffs if h.outcome not in NEVER_RAN]
-        if not ran or sub.offering.repeat == REDOABLE:
-            return True
-        return sub.offering.repeat == LABELLED and (
-            self.host.now < ran[0].sent + sub.offering.remembered - self.margin)
+        return not ran or sub.offering.repeat == REDOABLE or (sub.offering.repeat == LABELLED and (
+            self.host.now < ran[0].sent + sub.offering.remembered - self.margin))
 
     def _extra_left(self) -> bool:
         """The budget of further hand-offs; where none is stated, one of our own against retry storms."""
         floor, part, span = self.extra
         since = self.host.now - span
-        while self.taken and self.taken[0] <= since:
-            self.taken.popleft()
-        while self.extras and self.extras[0] <= since:
-            self.extras.popleft()
+        for whens in self.taken, self.extras:
+            while whens and whens[0] <= since:
+                whens.popleft()
         return len(self.extras) + 1 <= floor + part * len(self.taken)
 
     # Endings.
@@ -460,13 +456,13 @@
         sub.over = True
         sub.queue.badness.append(latency / max(sub.aim, 1))
         for handoff in sub.handoffs:
-            if self.cancels and handoff.out and not handoff.called_off:
-                self._call_off(handoff)
+            self._call_off(handoff)
         self.turn(sub.key)
 
     def _call_off(self, handoff: HandOff) -> None:
-        handoff.called_off = True
-        self.host.call_off(handoff)
+        if self.cancels and handoff.out and not handoff.called_off:
+            handoff.called_off = True
+            self.host.call_off(handoff)
 
     def turn(self, key: int) -> None:
         """Let the next of a key go, once all before it are over and their hand-offs have outcomes."""
@@ -506,16 +502,21 @@
                 self.best = min(self.best, max(1.0, median(view.slowness)))
             # Danger: an engine that answers all, but late, is as overrun as one that refuses or times out.
             aim = offering.aim + offering.stretch * alone
-            step = STEP / 4 if took <= aim else -STEP
-            view.bound = min(2.0, max(LEAST_BOUND, view.bound + step))
-            return
+            return self._step(view, offering, STEP / 4 if took <= aim else -STEP)
         if outcome == FULL:
             view.heard = now
             view.refused_until = now + SECOND
         elif outcome in (ERROR, UNREACHED, RESET):
             self._fault(engine, ("error", "", "", "", "unreached", "reset")[outcome])
         if outcome in (FULL, TIMED_OUT):
-            view.bound = max(LEAST_BOUND, view.bound - STEP)
+            self._step(view, offering, -STEP)
+
+    def _step(self, view: View, offering: Offering, step: float) -> None:
+        """Let an engine's bound rise or fall, and the price with it, by the work that tells."""
+        view.bound = min(2.0, max(LEAST_BOUND, view.bound + step))
+        told = min(max(offering.usual / max(self.usual_work, 1.0), LEAST_TOLD), 2.0)
+        price = max(self.price, self.least_price) * (1 - step * told)
+        self.price = price if price > self.least_price else 0.0
 
     def _expected_work(self, sub: Submission) -> float:
         """The work of a submission: its estimate, corrected by what this offering's answers told."""
@@ -527,9 +528,7 @@
     def _usual_work(self, offering: Offering) -> float:
         """The usual work of an offering, on the high side while little is known."""
         works = [work for _, _, work in offering.samples]
-        if len(works) < LAST:
-            return max([2.0 * offering.aim * offering.threads, *works])
-        return fmean(works)
+        return fmean(works) if len(works) >= LAST else max([2.0 * offering.aim * offering.threads, *works])
 
     def _time_of(self, sub: Submission) -> float:
         """What a hand-off should take, at the pace that engines keep at present."""
--- a/corkgauge/interface.py
+++ b/corkgauge/interface.py
@@ -115,6 +115,7 @@
     number: int
     sent: int
     due: float                  # time of the work alone
+    usual: float                # time of the usual work alone
     out: bool = True
     called_off: bool = False
     outcome: int = -1
