--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -30,6 +30,7 @@
 THREADS_PER_CORE = 0.9  # of all gateways together, where the bound starts
 LIGHT = 2.0             # bound for offerings lighter than the others' mean, over that of the heavy
 CROWDED = 1.5           # threads a core that one gateway never passes
+TIERS = 0.25, 1.0, 2.0  # of the usual work, beyond which a draw's priority is one lower each
 STEP = 0.1              # of the bound
 LEAST_TOLD = 0.4        # of a step of the price, for answers to light work
 LEAST_BOUND = 0.25      # how far refusals push the bound below its start
@@ -388,9 +389,9 @@
             self.extras.append(now)
         priority = 3 if sub.queue.share * len(self.queues) >= 0.999 else 2
         # Danger: heavy draws crowd light ones out on the engine's cores too; one in order holds its line.
-        if sub.work > self.usual_work > 0 and not offering.ordered:
-            priority -= 2
-        self.host.set_terms(sub, self._grant(sub, engine), priority)
+        if not offering.ordered:
+            priority -= sum(sub.work > part * self.usual_work > 0 for part in TIERS)
+        self.host.set_terms(sub, self._grant(sub, engine), max(priority, 0))
         handoff = HandOff(sub, engine, len(sub.handoffs), now, max(sub.work / offering.threads, 1),
                           offering.usual / offering.threads)
         sub.handoffs.append(handoff)
