--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -41,6 +41,7 @@
 NEAR = 3                # engines of the hashed order that are looked at first
 EVEN = 1.25             # of an engine's part of the gateway's last work, before the order goes further
 LAST = 8                # samples kept for an engine
+FEW = 3                 # samples that a figure of them needs
 LAST_ANSWERS = 48       # and for an offering
 SILENT = 6.0            # usual lifetimes, of all hand-offs out together, without a sign
 REST = SECOND           # of an engine that did badly once; doubles with each further time
@@ -350,11 +351,11 @@
         """The median slowness of an engine's last answers, and of what is out longer than those took."""
         now = self.host.now
         if now >= view.slow_until:
-            usual = median(view.slowness) if len(view.slowness) >= 3 else 0.0
+            usual = median(view.slowness) if len(view.slowness) >= FEW else 0.0
             # Danger: an engine that stalls or slows sends no bad samples; its silence must count as one.
             ages = [(now - h.sent) / h.due for h in view.out]
             seen = [*view.slowness, *(age for age in ages if age > max(usual, UNSEEN))]
-            view.slow_until, view.slow = now + MOMENT, median(seen) if len(seen) >= 3 else 0.0
+            view.slow_until, view.slow = now + MOMENT, median(seen) if len(seen) >= FEW else 0.0
         return view.slow or otherwise
 
     def _trusted(self, view: View) -> bool:
@@ -411,7 +412,7 @@
     def _grant(self, sub: Submission, engine: Engine) -> float:
         """Memory as estimated, corrected by what answers told; 0 leaves it to the engine."""
         ratios = sorted(need for _, need, _ in sub.offering.samples if need)
-        known = sub.memory and len(ratios) >= LAST
+        known = sub.memory and len(ratios) >= FEW
         return min(sub.memory * ratios[int(0.85 * len(ratios))], engine.most_memory) if known else 0.0
 
     def _rescue(self, handoff: HandOff) -> None:
@@ -499,7 +500,7 @@
             offering.samples.append((*ratios, work or sub.work))
             offering.usual = self._usual_work(offering)
             view.slowness.append(max(took, 1) / alone)
-            if len(view.slowness) >= 3:
+            if len(view.slowness) >= FEW:
                 self.best = min(self.best, max(1.0, median(view.slowness)))
             # Danger: an engine that answers all, but late, is as overrun as one that refuses or times out.
             aim = offering.aim + offering.stretch * alone
@@ -524,12 +525,12 @@
         if not sub.estimate:
             return sub.offering.usual
         ratios = [ratio for ratio, _, _ in sub.offering.samples if ratio]    # none where answers do not tell
-        return sub.estimate * (median(ratios) if len(ratios) >= LAST else 1.0)
+        return sub.estimate * (median(ratios) if len(ratios) >= FEW else 1.0)
 
     def _usual_work(self, offering: Offering) -> float:
         """The usual work of an offering, on the high side while little is known."""
         works = [work for _, _, work in offering.samples]
-        return fmean(works) if len(works) >= LAST else max([2.0 * offering.aim * offering.threads, *works])
+        return fmean(works) if len(works) >= FEW else max([2.0 * offering.aim * offering.threads, *works])
 
     def _time_of(self, sub: Submission) -> float:
         """What a hand-off should take, at the pace that engines keep at present."""
