--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -284,9 +284,10 @@
                     if not self._full(engine, sub.offering, usual):
                         # Danger: a gateway that holds one hand-off at a time sees no crowd at a home that all
                         # gateways share; so its last work is spread by cores, whatever is out.
-                        over = engine.view.drawn > even * engine.cores
-                        (spare if over else near).append(
-                            (self._crowd(engine, sub.offering, usual) + HOME * seen, n))
+                        # A cold engine's part is small and lapses, so it counts as the nearest.
+                        far = 0.0 if self._cold(engine) else HOME * seen
+                        (spare if engine.view.drawn > even * engine.cores else near).append(
+                            (self._crowd(engine, sub.offering, usual) + far, n))
                     if near and seen >= NEAR:
                         break
             if seen:
