--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -188,8 +188,7 @@
             late = sorted(queue.badness)
             queue.model.append((queue.share, 1 / max(late[int(0.99 * len(late))], 1e-3)))
             queue.badness = []
-        if len(moving) > 1:
-            self._equalise(moving)
+        self._equalise(moving)
 
     # Shares and the lottery.
 
@@ -292,7 +291,6 @@
                         break
             if seen:
                 return order[min(near or spare)[1]] if near or spare else None
-        return None
 
     def _may(self, sub: Submission, engine: Engine) -> bool:
         """The rules on where a submission may go."""
@@ -330,7 +328,6 @@
     def _full(self, engine: Engine, offering: Offering, usual: float) -> bool:
         """The bound acts under pressure only: latency well above its best, a full refusal, or a report of a
         submission a core. An engine that holds nothing of ours takes one."""
-        # Danger: heavy hand-offs hold slots for long and crowd the light ones out.
         light = LIGHT if offering.usual < self.usual_work else 1
         # Danger: with hundreds of gateways a part is less than one submission, and the busy ones starve.
         slots = light * engine.view.bound * max(self.slots * engine.cores, offering.threads)
