--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -115,11 +115,12 @@
         if offering.ordered and sub.key:
             line = self.lines.setdefault(sub.key, deque())
             line.append(sub)
-            # Danger: in a line longer than its promise all start too late. The heaviest go, so that most do not.
+            # Danger: in a line longer than its promise all start too late. The heaviest go, so most do not.
             while len(ahead := [each for each in line if not (each.over or each.handoffs)]) > 1 and (
                     sum(map(self._time_of, ahead)) > sub.aim):
                 self._end(max(ahead, key=lambda each: each.work))
-            self.host.wake(int(max(sub.aim - self._time_of(sub), sub.life * WAIT_PART)), self.wait_over, sub, 0)
+            patience = max(sub.aim - self._time_of(sub), sub.life * WAIT_PART)
+            self.host.wake(int(patience), self.wait_over, sub, 0)
             self.turn(sub.key)
         else:
             self._join(sub)
@@ -331,9 +332,8 @@
     def _full(self, engine: Engine, offering: Offering, usual: float) -> bool:
         """The bound acts under pressure only: latency well above its best, a full refusal, or a report of a
         submission a core. An engine that holds nothing of ours takes one."""
-        light = LIGHT if offering.usual < self.usual_work else 1
         # Danger: with hundreds of gateways a part is less than one submission, and the busy ones starve.
-        slots = light * engine.view.bound * max(self.slots * engine.cores, offering.threads)
+        slots = (LIGHT if offering.usual < self.usual_work else 1) * engine.view.bound * max(self.slots * engine.cores, offering.threads)
         view, now = engine.view, self.host.now
         pressed = ((view.load >= engine.cores and now < view.heard + PERIOD) or now < view.refused_until or
                    self._slow(view, usual) > PRESSED * self.best)
