--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -313,15 +313,14 @@
         return bool(engine.started) and self.host.now < engine.started + self.cold_span
 
     def _cold_room(self, engine: Engine, work: float) -> bool:
-        """May this gateway send so much work to a cold engine in the present span?"""
+        """May this gateway send so much work to a cold engine now?"""
         since = self.host.now - self.fall_span
         left = self.cold_part * engine.cores - sum(w for when, w in engine.view.spent if when > since)
-        # Danger: with hundreds of gateways a part is less than one submission, and the engine stands idle.
-        # Then those may send one whose turn it is in this span, by their numbers.
+        # Danger: with hundreds of gateways a part is below one submission: those in turn, by number, send one.
         span = (self.host.now - engine.started) // self.fall_span
         turn = ((self.number + span * self.stride) % self.gateways + 0.5) / self.gateways
         # Danger: a gateway that restarts does not know what it sent before.
-        return since >= self.born and (work <= left or work * turn * 2 <= left)
+        return since >= self.born and (work <= left or work * turn <= left)
 
     def _well(self, engine: Engine) -> bool:
         """Not at rest; after a rest one hand-off tells, whatever long ones are still out from before."""
@@ -333,7 +332,8 @@
         """The bound acts under pressure only: latency well above its best, a full refusal, or a report of a
         submission a core. An engine that holds nothing of ours takes one."""
         # Danger: with hundreds of gateways a part is less than one submission, and the busy ones starve.
-        slots = (LIGHT if offering.usual < self.usual_work else 1) * engine.view.bound * max(self.slots * engine.cores, offering.threads)
+        slots = engine.view.bound * max(self.slots * engine.cores, offering.threads)
+        slots *= LIGHT if offering.usual < self.usual_work else 1
         view, now = engine.view, self.host.now
         pressed = ((view.load >= engine.cores and now < view.heard + PERIOD) or now < view.refused_until or
                    self._slow(view, usual) > PRESSED * self.best)
