--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -316,7 +316,7 @@
         """May this gateway send so much work to a cold engine now?"""
         since = self.host.now - self.fall_span
         left = self.cold_part * engine.cores - sum(w for when, w in engine.view.spent if when > since)
-        # Danger: with hundreds of gateways a part is below one submission: those in turn, by number, send one.
+        # Danger: with hundreds of gateways a part is below one submission; those in turn by number send one.
         span = (self.host.now - engine.started) // self.fall_span
         turn = ((self.number + span * self.stride) % self.gateways + 0.5) / self.gateways
         # Danger: a gateway that restarts does not know what it sent before.
