A hand-off that is too late is given up at its engine

A trace of the ordered offering showed the next of a key sent 2 ms after the one before timed out, and the engine still telling notes of the first 20 s later: it holds what it was sent until it hears 'abort' or answers, whatever patience it was told. At fault: House.too_late, which said 'abort' only where settings let the gateway call off.

--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -181,10 +181,6 @@
                 return ""
             if name not in self.past:
                 return f"an answer {word[:8]!r} to an unknown id"
-            if word not in ("TELL", "MORE"):
-                del self.past[name]
-            if word == "DONE":
-                self.say("done", name)
             return ""
         return self.house.answered(errand, word, fields, body)
 
@@ -503,10 +499,8 @@
         if errand.link is None:
             errand.station.waiting.remove(errand)
         else:
-            if errand.answered:
-                errand.link.say("done", errand.order.name)
-            elif self.stated.cancels:
-                errand.link.say("abort", errand.order.name)
+            # Danger: the engine works on past the time that it was told, and counts as holding it until it hears.
+            errand.link.say("done" if errand.answered else "abort", errand.order.name)
             errand.link.give_up(errand)
         self.failed(errand, "late")
 
