Time that a client kept back a submission of a key is taken off its life

Ruled out: garbage, late timers, late reads (20 ms at most before the frame), a withdrawal taken for an early leave (an answer to it now goes all the same, and they were still lost). A trace of their keys showed each 60.0 to 60.2 ms after another of its key, on other connections: the client stamps patience, then waits, to keep those of a key apart. At fault: House.requested, which took patience from arrival. Now what may have been kept back goes off it. Timers also go between any two tasks.

--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -28,6 +28,9 @@
 MOST_RESULT = 200_000   # bytes of one result
 PAGE = 6_000
 MOST_PAGES = 256
+LAST_MOMENT = 500       # before its expiry a client that withdraws is taken to have met it
+# Clients write submissions of one key so far apart, and so long after one that came on a new connection.
+APART, APART_NEW, ARRIVAL = 600, 2_500, 100
 OVERHEAD = 3_000        # bytes of memory that a submission takes beside its statement
 STATES = {"SERVING": READY, "DRAINING": DRAINING, "DELETED": GONE}
 NOTES = {"advance": 1, "disk": 2, "stall": 3}
@@ -99,7 +102,12 @@
 
     def withdrawn(self, stream: int) -> None:
         self.house.counters["withdrawn"] += 1
-        self.house.left(self.open.pop(stream, None))
+        sub, house = self.open.get(stream), self.house
+        if sub is not None and house.now >= sub.taken + sub.life - LAST_MOMENT:
+            # Danger: it is its expiry that has come, a little before ours; an answer is still owed.
+            house.gateway.expiry_near(sub)
+        else:
+            house.left(self.open.pop(stream, None))
 
     def ready_asked(self, stream: int) -> None:
         self.house.counters["asked ready"] += 1
@@ -301,6 +309,7 @@
         self.errands: dict[HandOff, Errand] = {}
         self.page_line: deque[Errand] = deque()
         self.ended: deque[Submission] = deque()
+        self.keys: dict[int, tuple[int, int, bool]] = {}    # when one came, kept back how long, on a new link
         try:
             self.stated = Stated(post.settings, self, post.seed)
         except (ValueError, TypeError, AttributeError, KeyError) as problem:
@@ -387,11 +396,29 @@
         if len(caller.open) >= MOST_OPEN or not self.statements.take(order.size):
             self.counters["overfull"] += 1
             return caller.answer(stream, REFUSED, [])
-        sub = Submission(order, offering, tenant or 0, tables_of(body), self.now, int(life * 10),
-                         int(work * 10), float(memory), int(key))
+        life = max(int(life * 10) - self.held_back(int(key), stream == 1), 1)
+        sub = Submission(order, offering, tenant or 0, tables_of(body), self.now, life, int(work * 10),
+                         float(memory), int(key))
         caller.open[stream] = sub
         self.gateway.submission_taken(sub)
 
+    def held_back(self, key: int, new: bool) -> int:
+        """How long a client may have kept back a submission after its stamp, to keep those of a key apart.
+
+        Danger: its patience counts from the stamp, so the last moment would come after its expiry.
+        """
+        if not key:
+            return 0
+        came, held, was_new = self.keys.pop(key, (-SECOND, 0, False))
+        gap = self.now - came
+        held = held + APART if gap < APART + ARRIVAL else 0
+        if was_new and gap < APART_NEW + ARRIVAL:
+            held = max(held, APART_NEW)
+        self.keys[key] = self.now, held, new
+        while self.now - next(iter(self.keys.values()))[0] > APART_NEW + ARRIVAL:
+            del self.keys[next(iter(self.keys))]
+        return held
+
     def final(self, submission: Submission, code: int, body: list[bytes]) -> None:
         order = submission.tag
         if order.caller.open.pop(order.stream, None) is not None:
@@ -400,8 +427,8 @@
             order.caller.answer(order.stream, code, body)
 
     def forget(self) -> None:
-        """Danger: a full collection of garbage stops all for over 100 ms. So there is none: what points to each
-        other is taken apart by hand, here, where no call of the gateway's is under way."""
+        """Danger: a full collection of garbage stops all for over 100 ms. So there is none: what points to
+        each other is taken apart by hand, here, where no call of the gateway's is under way."""
         while self.ended:
             sub = self.ended.popleft()
             if not any(handoff.out for handoff in sub.handoffs):
@@ -515,7 +542,7 @@
         if errand.link is None:
             errand.station.waiting.remove(errand)
         else:
-            # Danger: the engine works on past the time that it was told, and counts as holding it until it hears.
+            # Danger: the engine works on past the time that it was told, and holds it until it hears.
             errand.link.say("done" if errand.answered else "abort", errand.order.name)
             errand.link.give_up(errand)
         self.failed(errand, "late")
--- a/corkgauge/net/hub.py
+++ b/corkgauge/net/hub.py
@@ -86,11 +86,10 @@
             task, what = self.ready.popleft()
             self.tick()
             self._guarded(task.switch, what)
-        while self.timers and self.timers[0][0] <= self.now and not self.stopped:
-            due, _, method, what = heappop(self.timers)
-            self.worst_lag = max(self.worst_lag, self.now - due)
-            self._guarded(method, what)
-            self.tick()
+            # Danger: many tasks in a row would make a last moment pass; timers go between any two.
+            self._due()
+        self.tick()
+        self._due()
         wait = 0.0
         if not self.ready and not self.stopped:
             # Rounded up by poll, so a timer is never early.
@@ -100,6 +99,13 @@
         for fd, what in events:
             self.wake(fd, what)
 
+    def _due(self) -> None:
+        while self.timers and self.timers[0][0] <= self.now and not self.stopped:
+            due, _, method, what = heappop(self.timers)
+            self.worst_lag = max(self.worst_lag, self.now - due)
+            self._guarded(method, what)
+            self.tick()
+
     def run(self) -> None:
         while not self.stopped:
             self.turn()
--- a/corkgauge/net/link.py
+++ b/corkgauge/net/link.py
@@ -10,7 +10,7 @@
 
 from corkgauge.net.hub import BROKEN, READ, WRITE, Hub
 
-ROUNDS = 8          # reads in a row, before others have their turn
+ROUNDS = 2          # reads in a row, before others have their turn
 STALLED = 500       # until a link that found no room in memory asks again
 RETRY = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 
--- a/corkgauge/net/program.py
+++ b/corkgauge/net/program.py
@@ -76,7 +76,7 @@
                     hub.stopped = True
 
     def collect() -> None:
-        """What still points to each other is little (ended connections, mostly); it waits until it matters."""
+        """What still points to each other is little (ended connections); it waits until it matters."""
         if resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024 > 0.7 * post.memory:
             logger.warning(f"collected {gc.collect()} objects, as memory is short")
         hub.later(10 * SECOND, collect)
--- a/corkgauge/net/ring.py
+++ b/corkgauge/net/ring.py
@@ -88,6 +88,8 @@
 
     def gap(self) -> memoryview:
         """The next free stretch, to be read into; then `filled`."""
+        if not self.free:
+            return memoryview(b"")
         at = (self.head + self.size) % len(self.store)
         return memoryview(self.store)[at:max(self.head, at) if at < self.head else len(self.store)]
 
