The price of work stays where the usual best draw still goes

Ruled out: bounds, rests, links. A trace of the price: 0.25, then 11.6, where the usual best draw pays 0.0005 for its work; each of hundreds of late answers raises it by a tenth, and off it comes a fifth every 2 s, so minutes. At fault: Gateway._step, which had no upper end. Now the price ends at the best offering's earnings over its usual work. Lost submissions remain, from a processor that is full.

--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -57,9 +57,8 @@
                  cold_share: float, cold_span: int, fall_multiple: float, fall_span: int,
                  extra_floor: float, extra_share: float, extra_span: int, settle: int) -> None:
         self.host, self.seed, self.drawn, self.born = host, seed, 0, host.now
-        self.cancels, self.copies, self.settle = cancels, copies, settle
-        self.most_handoffs, self.come_back = most_handoffs, come_back
-        self.margin = 2 * tick + 10                 # an ending decided this long before expiry is in time
+        self.cancels, self.copies, self.settle, self.come_back = cancels, copies, settle, come_back
+        self.most_handoffs, self.margin = most_handoffs, 2 * tick + 10  # ending so long before expiry is in time
         self.slots = THREADS_PER_CORE / gateways    # threads a core, where the bound starts
         # A core's worth of work that this gateway may send in a span to an engine that has just started.
         self.cold_part = COLD_SAFETY * 0.85 * fall_multiple * cold_share * fall_span / gateways
@@ -74,7 +73,7 @@
         self.rests: dict[int, int] = {}                     # by key: a hand-off may still run until then
         self.taken, self.extras = deque[int](), deque[int]()    # when, within the budget's span
         self.best, self.usual_work, self.usual = UNSEEN, 0.0, (-1, UNSEEN)
-        self.price = self.least_price = 0.0                 # earnings for work that a release must bring
+        self.price = self.least_price = self.most_price = 0.0   # earnings for work that a release must bring
         for offering in offerings:
             offering.samples = deque(maxlen=LAST_ANSWERS)   # work, memory: true over estimate; true work
             offering.usual = self._usual_work(offering)
@@ -184,8 +183,10 @@
         self.host.wake(PERIOD, self.interval_over)
         offerings = [queue.offering for queue in self.queues.values()]
         self.usual_work = fmean([offering.usual for offering in offerings] or [0.0])
-        self.least_price = min([each.worth / each.usual for each in offerings] or [0.0]) / LAST
-        # Danger: a price that holds all back meets no answer that could lower it.
+        worths = [each.worth / each.usual for each in offerings] or [0.0]
+        self.least_price, self.most_price = min(worths) / LAST, max(worths)
+        # Danger: a price that holds all back meets no answer that could lower it. Hundreds of late answers at
+        # once would raise it out of reach for minutes; so it also stays where the usual best draw still goes.
         self.price *= 1 - 2 * STEP
         moving = [queue for queue in self.queues.values() if queue.badness]
         for queue in moving:
@@ -268,10 +269,9 @@
 
     def _choose(self, sub: Submission) -> Engine | None:
         """The engine for the next hand-off; None while all that it may use are full."""
-        if sub.handoffs and not (self._may_again(sub) and self._extra_left()):
-            return None
-        # Danger: hundreds of gateways, each below its bound, overrun the engines together.
-        if sub.work * self.price > sub.offering.worth:
+        # Danger: hundreds of gateways, each below its bound, overrun the engines together: hence the price.
+        if sub.work * self.price > sub.offering.worth or (sub.handoffs and not (
+                self._may_again(sub) and self._extra_left())):
             return None
         usual, tried = self._usual_slowness(), [h.engine for h in sub.handoffs]
         order = self._order(sub.tables)
@@ -338,8 +338,7 @@
         pressed = ((view.load >= engine.cores and now < view.heard + PERIOD) or now < view.refused_until or
                    self._slow(view, usual) > PRESSED * self.best)
         # Danger: between two bad samples the bound would not act, and a whole queue goes out at once.
-        if not pressed:
-            slots = max(slots, CROWDED * engine.cores)
+        slots = slots if pressed else max(slots, CROWDED * engine.cores)
         return 0 < engine.threads > slots - offering.threads or now < view.refused_until
 
     def _crowd(self, engine: Engine, offering: Offering, usual: float) -> float:
@@ -517,7 +516,7 @@
         view.bound = min(2.0, max(LEAST_BOUND, view.bound + step))
         told = min(max(offering.usual / max(self.usual_work, 1.0), LEAST_TOLD), 2.0)
         price = max(self.price, self.least_price) * (1 - step * told)
-        self.price = price if price > self.least_price else 0.0
+        self.price = min(price, self.most_price) if price > self.least_price else 0.0
 
     def _expected_work(self, sub: Submission) -> float:
         """The work of a submission: its estimate, corrected by what this offering's answers told."""
