--- a/corkgauge/__main__.py
+++ b/corkgauge/__main__.py
@@ -22,7 +22,7 @@
     try:
         post = configuration.read(os.environ)
         from corkgauge.net import program
-        return program.main(post)
+        return program.check(post) if command == "check" else program.serve(post)
     except configuration.Faulty as problem:
         print(f"corkgauge: {problem}", file=sys.stderr)
         return 2
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -28,6 +28,12 @@
 MOST_RESULT = 200_000   # bytes of one result
 PAGE = 6_000
 MOST_PAGES = 256
+NEVER = 2 ** 62
+STUCK = 10 * SECOND     # that a client may take over one frame
+LONGEST = 36_000_000    # that any client is believed to wait
+# After the signal to end: the longest expiry counts for so much at most; the rest is the page's 0.7 s, less
+# what it takes to write the last answers. Until then submissions still come.
+MOST_EXPIRY, LAST_ANSWERS, STILL_COMING = 3 * SECOND, 4_000, 9_000
 LAST_MOMENT = 500       # before its expiry a client that withdraws is taken to have met it
 # Clients write submissions of one key so far apart, and so long after one that came on a new connection.
 APART, APART_NEW, ARRIVAL = 600, 2_500, 100
@@ -94,8 +100,8 @@
     def __init__(self, house: "House", sock: Any) -> None:
         self.house = house
         self.open: dict[int, Submission | None] = {}
-        self.waiting: deque[tuple[int, int, list[bytes]]] = deque()   # answers that found no room
-        self.link = Link(house.hub, sock, ClientWire(self, house.rings), self)
+        self.waiting: deque[tuple[int, int, list[bytes], int]] = deque()    # without room, and until when
+        self.link = Link(house.hub, sock, ClientWire(self, house.rings), self, STUCK)
 
     def requested(self, stream: int, fields: dict[str, str], body: bytes) -> None:
         self.house.requested(self, stream, fields, body)
@@ -111,31 +117,45 @@
 
     def ready_asked(self, stream: int) -> None:
         self.house.counters["asked ready"] += 1
-        code = 2 if self.house.leaving else 1
+        code = 1 if self.house.end == NEVER else 2
         self.link.send(frame_head(client_wire.READY, stream, code, 0))
 
     def unreadable(self, stream: int, why: str) -> None:
         self.house.counters["unreadable"] += 1
         self.answer(stream, FAILED, [why.encode()])
 
-    def answer(self, stream: int, code: int, body: list[bytes]) -> None:
-        self.house.counters["answered " + {SERVED: "served", REFUSED: "refused"}.get(code, "failed")] += 1
-        if self.link.why:
+    def answer(self, stream: int, code: int, body: list[bytes], until: int = NEVER) -> None:
+        house = self.house
+        house.counters["answered " + {SERVED: "served", REFUSED: "refused"}.get(code, "failed")] += 1
+        if self.link.why or (not self.waiting and self._put(stream, code, body)):
             return
-        if self.waiting or not self._put(stream, code, body):
-            self.waiting.append((stream, code, body))
+        # Danger: clients that do not read would fill the memory with results; they get a short answer.
+        if not house.results.take(sum(map(len, body))):
+            house.counters["results dropped"] += 1
+            code, body = FAILED, []
+        self.waiting.append((stream, code, body, until))
 
     def _put(self, stream: int, code: int, body: list[bytes]) -> bool:
         return self.link.send(frame_head(ANSWER, stream, code, sum(map(len, body))), *body)
 
     def drained(self) -> None:
-        while self.waiting and self._put(*self.waiting[0]):
-            self.waiting.popleft()
+        """Room again. Danger: what waited past its expiry must not leave as served."""
+        while self.waiting:
+            stream, code, body, until = self.waiting[0]
+            late = self.house.now >= until
+            if not self._put(stream, FAILED if late else code, [] if late else body):
+                return
+            self._drop()
+
+    def _drop(self) -> None:
+        if self.waiting:
+            self.house.results.give(sum(map(len, self.waiting.popleft()[2])))
 
     def ended(self, why: str) -> None:
         self.house.counters["connections ended"] += 1
         self.house.callers.pop(self, None)
-        self.waiting.clear()
+        while self.waiting:
+            self._drop()
         for sub in [*self.open.values()]:
             self.house.left(sub)
         self.open.clear()
@@ -217,7 +237,10 @@
         self.house.hub.later(self.house.stated.idle_time // 6, self.watch)
 
     def ended(self, why: str) -> None:
-        self.station.links.remove(self)
+        station = self.station
+        station.links.remove(self)
+        if station.engine.state == GONE and not station.links and not station.waiting:
+            self.house.stations.pop(station.engine.tag, None)
         errands, self.open = [*self.open.values()], {}
         if errands:
             self.house.log(f"link {self.station.engine.tag} ended: {why}; {len(errands)} out")
@@ -303,7 +326,7 @@
         room = post.memory // 2
         self.rings, self.results, self.statements = (Allowance(room // 3) for _ in range(3))
         self.links_most = post.sockets // 3     # a third is the clients', a third stays free
-        self.leaving = 0
+        self.end = NEVER        # when the last answer goes, once the program is told to end
         self.callers: dict[Caller, None] = {}
         self.stations: dict[str, Station] = {}
         self.errands: dict[HandOff, Errand] = {}
@@ -378,6 +401,30 @@
         self.callers[caller] = None
         self.counters["connections"] += 1
         self.hub.spawn(caller.link.run)
+        if self.end != NEVER:
+            caller.link.send(client_wire.leaving())
+
+    def leave(self) -> None:
+        """The program is to end: no new submissions are asked for, and all that is open ends in time."""
+        if self.end != NEVER:
+            return
+        longest = max(offering.expiry for offering in self.stated.offerings)
+        self.end = self.now + min(longest, MOST_EXPIRY) + LAST_ANSWERS
+        subs = [sub for caller in self.callers for sub in caller.open.values()]
+        self.log(f"leaving by {self.end}, {len(subs)} open")
+        for caller in [*self.callers]:
+            caller.link.send(client_wire.leaving())
+        for sub in subs:
+            self.hub.later(self.end - self.now, self.gateway.expiry_near, sub)
+        self.hub.later(STILL_COMING, self.gone)
+
+    def gone(self) -> None:
+        """End as soon as nothing is owed and all is written, or when it must be."""
+        owed = any(caller.open or caller.waiting or len(caller.link.machine.outward) for caller in self.callers)
+        if owed and self.now < self.end + LAST_ANSWERS // 4:
+            self.hub.later(100, self.gone)
+        else:
+            self.hub.stopped = True
 
     def requested(self, caller: Caller, stream: int, fields: dict[str, str], body: bytes) -> None:
         # Danger: what it says is a stranger's; nothing of it may raise.
@@ -385,13 +432,13 @@
         self.forget()
         offering = self.offerings.get(fields.get("route", ""))
         tenant = self.tenants.get(fields.get("customer", ""))
-        life, work, memory = (amount(fields.get(name, "0")) for name in ("patience", "weight", "est_mb"))
-        name, key = fields.get("trace", ""), amount(fields.get("entity", "0"), 16)
+        life, work, memory = (amount(fields.get(name) or "0") for name in ("patience", "weight", "est_mb"))
+        name, key = fields.get("trace", ""), amount(fields.get("entity") or "0", 16)
         wrong = ("route" if offering is None else "customer" if tenant is None and self.tenants else
                  "patience" if life is None or life <= 0 else "weight" if work is None else
                  "est_mb" if memory is None else "entity" if key is None else
                  "trace" if not plain(name) else
-                 "nonce" if not plain(fields.get("nonce", "-")) else "")
+                 "nonce" if not plain(fields.get("nonce") or "-") else "")
         if wrong:
             return caller.unreadable(stream, f"{wrong}: unusable")
         label = fields.get("nonce", "") if offering.repeat == LABELLED else ""
@@ -399,7 +446,8 @@
         if len(caller.open) >= MOST_OPEN or not self.statements.take(order.size):
             self.counters["overfull"] += 1
             return caller.answer(stream, REFUSED, [])
-        life = max(int(life * 10) - self.held_back(int(key), stream == 1), 1)
+        life = min(int(life * 10), LONGEST, self.end - self.now)
+        life = max(life - self.held_back(int(key), stream == 1), 1)
         sub = Submission(order, offering, tenant or 0, tables_of(body), self.now, life, int(work * 10),
                          float(memory), int(key))
         caller.open[stream] = sub
@@ -427,7 +475,7 @@
         if order.caller.open.pop(order.stream, None) is not None:
             self.statements.give(order.size)
             self.ended.append(submission)
-            order.caller.answer(order.stream, code, body)
+            order.caller.answer(order.stream, code, body, submission.taken + submission.life)
 
     def forget(self) -> None:
         """Danger: a full collection of garbage stops all for over 100 ms. So there is none: what points to
@@ -504,6 +552,8 @@
         sub = errand.handoff.submission
         errand.link.say("done", errand.order.name)
         errand.link.forget(errand)
+        if sum(len(page or b"") for page in errand.pages) > MOST_RESULT:
+            return self.failed(errand, "too large")
         if not sub.over:
             self.final(sub, SERVED, errand.pages)
         self.done(errand, HONOURED)
@@ -557,13 +607,14 @@
         try:
             said = json.loads(data)
             count = int(said["n"])
-        except (ValueError, TypeError, KeyError, RecursionError):
+        except (ValueError, TypeError, KeyError, RecursionError, OverflowError):
             return "an event that makes no sense"
+        members = said.get("members")
         if count <= self.last_event:
             return ""       # told before
-        if count > self.last_event + 1 and not said.get("members", {}).get("full"):
+        if count > self.last_event + 1 and not (isinstance(members, dict) and members.get("full")):
             return f"event {count} after {self.last_event}"
-        wrong = self.listed(said)
+        wrong = self.listed(said) if members is not None else ""    # other news is none of ours
         if not wrong:
             self.last_event = count
             self.counters["events"] += 1
@@ -577,7 +628,7 @@
                 entries.append((str(each["id"]), address(each["addr"], "addr"), STATES[each["state"]],
                                 self.stated.halls.index(each["zone"]), self.stated.kinds.index(each["kind"]),
                                 int(each.get("cell", 0)), int(each.get("started_ms", 0)) * 10))
-        except (Faulty, ValueError, TypeError, KeyError) as problem:
+        except (Faulty, ValueError, TypeError, KeyError, AttributeError, OverflowError) as problem:
             return f"an event that makes no sense ({type(problem).__name__} {problem})"
         if members.get("full"):
             named = {entry[0] for entry in entries}
--- a/corkgauge/net/link.py
+++ b/corkgauge/net/link.py
@@ -18,11 +18,11 @@
 class Link:
     """Calls its owner's `drained` when all that was put has left, and `ended(why)` at the end."""
 
-    def __init__(self, hub: Hub, sock: socket.socket, machine: Any, owner: Any) -> None:
+    def __init__(self, hub: Hub, sock: socket.socket, machine: Any, owner: Any, stuck: int = 0) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.hub, self.sock, self.machine, self.owner = hub, sock, machine, owner
-        self.fd, self.why, self.closing = sock.fileno(), "", False
+        self.fd, self.why, self.stuck = sock.fileno(), "", stuck   # that one frame may take; 0: any time
         self.put, self.sent = 0, 0      # bytes, since it came up
         self.heard = hub.now
 
@@ -44,11 +44,16 @@
         ring = self.machine.inward
         room = bool(ring.free)
         until = None if room else self.hub.now + STALLED
+        if self.stuck and len(ring) and room:
+            until = self.heard + self.stuck
         events = self.hub.wait(self.fd, self._mask(), until)
         if events & WRITE:
             self.flush()
         if not room and not self.why:
             self.why = self.machine.advance()
+        if self.stuck and len(ring) and self.hub.now - self.heard >= self.stuck:
+            # Danger: frames that never end would hold the rings' memory for ever.
+            self.why = self.why or "a frame that does not end"
         if events & (READ | BROKEN) and not self.why:
             self._read(bool(events & BROKEN))
 
--- a/corkgauge/net/program.py
+++ b/corkgauge/net/program.py
@@ -33,11 +33,33 @@
             pass
 
 
+class Troubles:
+    """Logs what was stopped at a connection or a timer: one a second, the others are counted."""
+
+    def __init__(self, hub: Hub) -> None:
+        self.hub, self.next, self.untold = hub, 0, 0
+
+    def __call__(self) -> None:
+        self.untold += 1
+        if self.hub.now >= self.next:
+            logger.opt(exception=True).error(f"{self.untold} exceptions stopped, the last")
+            self.next, self.untold = self.hub.now + SECOND, 0
+
+
+def check(post: Post) -> int:
+    """Everything that serving would read, and no more."""
+    house = House(Hub(), post, lambda line: print(f"corkgauge: {line}", file=sys.stderr))
+    print(f"{post.name}: {len(house.stations)} engines, {len(house.offerings)} offerings, "
+          f"{len(house.tenants)} tenants, list {house.last_event}")
+    return 0
+
+
 def serve(post: Post) -> int:
     logger.remove()
     logger.add(write_line, format="{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {message}",
                level="INFO", backtrace=False, diagnose=False)
-    hub = Hub(troubled=lambda: logger.opt(exception=True).error("stopped here"))
+    hub = Hub()
+    hub.troubled = Troubles(hub)
     house = House(hub, post, logger.info)
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -57,6 +79,8 @@
     def accept() -> None:
         while True:
             hub.wait(listener.fileno(), READ)
+            while len(house.callers) >= post.sockets // 2:  # a third is theirs; more wait at the door
+                hub.sleep(500)
             for _ in range(64):
                 try:
                     sock, _ = listener.accept()
@@ -73,7 +97,7 @@
                 if sign == signal.SIGUSR1:
                     logger.info(f"counters {house.counters.line()} worst_lag={hub.worst_lag}")
                 else:
-                    hub.stopped = True
+                    house.leave()
 
     def collect() -> None:
         """What still points to each other is little (ended connections); it waits until it matters."""
@@ -93,10 +117,3 @@
     logger.info(f"ended; counters {house.counters.line()} worst_lag={hub.worst_lag}")
     return 0
 
-
-def main(post: Post) -> int:
-    try:
-        return serve(post)
-    except Faulty as problem:
-        print(f"corkgauge: {problem}", file=sys.stderr)
-        return 2
