--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -420,7 +420,7 @@
 
     def gone(self) -> None:
         """End as soon as nothing is owed and all is written, or when it must be."""
-        owed = any(caller.open or caller.waiting or len(caller.link.machine.outward) for caller in self.callers)
+        owed = any(each.open or each.waiting or len(each.link.machine.outward) for each in self.callers)
         if owed and self.now < self.end + LAST_ANSWERS // 4:
             self.hub.later(100, self.gone)
         else:
--- a/corkgauge/net/hub.py
+++ b/corkgauge/net/hub.py
@@ -80,8 +80,8 @@
 
     # The loop.
 
-    def turn(self) -> None:
-        """One turn: tasks that are ready, timers that are due, then poll until the next thing."""
+    def turn(self, most: float = 1000) -> None:
+        """Tasks that are ready, timers that are due, then poll until the next thing or for so many ms."""
         for _ in range(len(self.ready)):
             task, what = self.ready.popleft()
             self.tick()
@@ -93,7 +93,7 @@
         wait = 0.0
         if not self.ready and not self.stopped:
             # Rounded up by poll, so a timer is never early.
-            wait = min(max(self.timers[0][0] - self.clock(), 0) / 10, 1000) if self.timers else 1000
+            wait = min(max(self.timers[0][0] - self.clock(), 0) / 10, most) if self.timers else most
         events = self.poller.poll(wait)
         self.tick()
         for fd, what in events:
--- a/corkgauge/net/link.py
+++ b/corkgauge/net/link.py
@@ -20,7 +20,8 @@
 
     def __init__(self, hub: Hub, sock: socket.socket, machine: Any, owner: Any, stuck: int = 0) -> None:
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.family == socket.AF_INET:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.hub, self.sock, self.machine, self.owner = hub, sock, machine, owner
         self.fd, self.why, self.stuck = sock.fileno(), "", stuck   # that one frame may take; 0: any time
         self.put, self.sent = 0, 0      # bytes, since it came up
--- a/corkgauge/net/program.py
+++ b/corkgauge/net/program.py
@@ -88,7 +88,11 @@
                     if problem.errno in BUSY:
                         hub.sleep(500)
                     break
-                house.accepted(sock)
+                try:
+                    house.accepted(sock)
+                except Exception:   # Danger: one bad connection would leave nobody at the door
+                    hub.troubled()
+                    sock.close()
 
     def signals() -> None:
         while True:
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,356 @@
+"""The program on sockets: machines fed split bytes and garbage, timers, links, stages, answers once."""
+
+import json
+import random
+
+import pytest
+
+from corkgauge.interface import MOOT, READY
+from corkgauge.net import configuration, feed_wire
+from corkgauge.net.client_wire import ClientWire
+from corkgauge.net.engine_wire import EngineWire, command
+from corkgauge.net.host import EngineLink
+from corkgauge.net.hub import Hub
+from corkgauge.net.ring import Allowance, Ring
+from corkgauge.net.statement import tables_of
+from tests.yard import SECOND, STATED_ON_SOCKETS, Premises, listing, request
+
+PLENTY = 10 ** 7
+
+
+class Told:
+    """An owner of a machine that writes down what it is told."""
+
+    def __init__(self):
+        self.told = []
+
+    def __getattr__(self, name):
+        return lambda *what: self.told.append((name, *what)) or ""
+
+
+FED = [
+    (ClientWire, request(1) + request(2, body=b"") + bytes.fromhex("0500000008010000000500000010030000000"
+                                                                   "600000002040000000a"), 5),
+    (EngineWire, command("a", "DONE", "chunks=2,l=inflight:3", "x\ty\n") + command("b", "WAIT", "-", "") +
+     command("a", "MORE", "at=1", "\r\n$3\r\n"), 3),
+    (feed_wire.FeedWire, b"HTTP/1.1 200 OK\r\nContent-Type: x\r\n\r\n: hi\n\nid: 4\ndata: {\ndata: }\n\n", 1),
+    (feed_wire.FeedWire, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nid: 4\n\r\n"
+     b"9;x\r\ndata: a\n\n\r\n1\r\n:\r\n", 1),
+]
+
+
+def fed(kind, pieces):
+    owner = Told()
+    machine = kind(owner, Allowance(PLENTY))
+    wrong = ""
+    for piece in pieces:
+        while piece and not wrong:
+            size = min(len(piece), max(machine.inward.free, 1))
+            assert machine.inward.put(piece[:size])
+            piece = piece[size:]
+            wrong = machine.advance()
+    return owner.told, wrong
+
+
+@pytest.mark.parametrize("kind, data, count", FED)
+def test_a_machine_hears_the_same_however_its_bytes_are_split(kind, data, count):
+    whole = fed(kind, [data])
+    assert len(whole[0]) == count and not whole[1]
+    for at in range(1, len(data)):
+        assert fed(kind, [data[:at], data[at:]]) == whole
+    assert fed(kind, [bytes([byte]) for byte in data]) == whole
+
+
+@pytest.mark.parametrize("kind, data, count", FED)
+def test_bytes_that_were_changed_never_raise(kind, data, count):
+    chance = random.Random(11)
+    for _ in range(400):
+        bad = bytearray(data)
+        for _ in range(chance.randint(1, 4)):
+            bad[chance.randrange(len(bad))] = chance.randrange(256)
+        told, wrong = fed(kind, [bytes(bad)])
+        assert isinstance(wrong, str) and len(told) < 20
+
+
+@pytest.mark.parametrize("kind, data", [
+    (ClientWire, b"\4\0\0\0" + b"x" * 8), (ClientWire, b"\xff\xff\xff\xff"), (EngineWire, b"*4\r\n$-1\r\n"),
+    (EngineWire, b"*999999999\r\n"), (EngineWire, b"$3\r\nabc\r\n"), (EngineWire, b"*1\r\n$1\r\nab\r\n"),
+    (EngineWire, b"*4\r\n$16000\r\n" + b"x" * 17_000), (feed_wire.FeedWire, b"HTTP/1.1 503 no\r\n"),
+    (feed_wire.FeedWire, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"),
+    (feed_wire.FeedWire, b"HTTP/1.1 200 OK\r\n\r\ndata: \xff\n"),
+])
+def test_framing_that_is_lost_is_said(kind, data):
+    assert fed(kind, [data])[1]
+
+
+@pytest.mark.parametrize("statement, group", [
+    (b"SELECT 'x from sales_3.a' FROM sales_17.orders", 17), (b"select 1", 0), (b"", 0), (b"\xff'\xfe", 0),
+    (b'select * from "sales_17"."orders"', 17), (b"insert into staging.x select a_2.y from ops_4.b a_2", 4),
+    (b"merge into ops_5.lines d using staging.delta s on d.id = s.id", 5),
+    (b"select /* from a_1.b */ x -- from a_2.b\n from c_3 . d", 3),
+    (b"select 'it''s from a_1.b' from q_9.z", 9),
+    (b"select 'never ends from a_1.b", 0), (b'select "a from b_1.c" from staging.t, x_8.y', 8),
+    (b"update `ops_6`.t set a = 1", 6), (b"WITH w AS (SELECT * FROM lake_0.o) SELECT * FROM w", 0),
+    (b"select * from (select n from ops_12.t) q", 12), (b"select id -- was: from mart_1.old\nFROM s_2.o", 2),
+])
+def test_the_group_of_tables_of_a_statement(statement, group):
+    assert tables_of(statement) == group
+
+
+def test_a_ring_keeps_order_within_its_bounds():
+    allowance, chance = Allowance(60_000), random.Random(5)
+    ring, model = Ring(50_000, allowance), b""
+    for _ in range(3000):
+        data = chance.randbytes(chance.randrange(300))
+        if ring.put(data):
+            model += data
+        if chance.random() < 0.02 and ring.free:
+            gap = ring.gap()
+            gap[:] = b"g" * len(gap)
+            ring.filled(len(gap))
+            model += b"g" * len(gap)
+        size = chance.randrange(500)
+        assert bytes(ring.stretch()) == model[:len(ring.stretch())] and ring.take(size) == model[:size]
+        model = model[size:]
+        assert len(ring) == len(model) and allowance.held <= 60_000
+    ring.close()
+    assert allowance.held == 0 and not len(Ring(8, allowance, 8).gap()[8:])
+
+
+def test_timers_are_never_early_keep_order_and_outlive_what_raises():
+    clock, heard, troubles = [1000], [], []
+    hub = Hub(clock=lambda: clock[0], troubled=lambda: troubles.append(1))
+    for delay in (30, 10, 20, 0):
+        hub.later(delay, lambda d: heard.append((d, hub.now)), delay)
+    hub.later(15, lambda: 1 / 0)
+    for now in range(1000, 1040, 5):
+        clock[0] = now
+        hub.turn(0)
+    assert heard == [(0, 1005), (10, 1010), (20, 1020), (30, 1030)] and troubles == [1]
+    clock[0] = 0    # Danger: a clock set back
+    hub.turn(0)
+    assert hub.now == 1035 and hub.worst_lag == 4
+
+
+def served(premises, client, engine, stream=1, **fields):
+    premises.ask(client, request(stream, **fields))
+    return premises.heard(engine)
+
+
+def test_a_submission_goes_on_unchanged_and_its_pages_come_back_in_order():
+    premises = Premises()
+    client, engine = premises.client(), premises.engine()
+    sent = served(premises, client, engine, body=b"select \xc3\xa9 from s_3.t")
+    assert sent.startswith(b"*4\r\n$5\r\nfetch\r\n$2\r\nt1\r\n") and b"select \xc3\xa9 from s_3.t" in sent
+    assert b"sort=quick,patience=29" in sent and b"op=" not in sent
+    premises.engine_says(engine, "t1", "TELL", "n=advance,amount=0.5", "")
+    premises.engine_says(engine, "t1", "DONE", "chunks=3,spent=120,wanted=9", "a\n")
+    assert premises.heard(engine) == command("more", "t1", "1") + command("more", "t1", "2")
+    assert not premises.answers(client)
+    premises.engine_says(engine, "t1", "MORE", "at=2", "c\n")
+    premises.engine_says(engine, "t1", "MORE", "at=1", "b\n")
+    assert premises.answers(client) == [(4, 1, b"\1", b"a\nb\nc\n")]
+    assert premises.heard(engine) == command("done", "t1")
+    assert not premises.logged and premises.house.results.held == premises.house.statements.held == 0
+
+
+@pytest.mark.parametrize("stream, code, fields", [
+    (1, b"\3", {"route": "nowhere"}), (1, b"\3", {"customer": "nobody"}), (1, b"\3", {"patience": None}),
+    (1, b"\3", {"patience": "soon"}), (1, b"\3", {"weight": "-1"}), (1, b"\3", {"est_mb": "nan"}),
+    (1, b"\3", {"trace": ""}), (1, b"\3", {"trace": "a,b"}), (1, b"\3", {"entity": "xyz"}),
+    (1, b"\2", {"patience": "1"}),
+])
+def test_what_cannot_be_served_is_answered_on_its_stream_and_the_rest_lives_on(stream, code, fields):
+    premises = Premises()
+    client, engine = premises.client(), premises.engine()
+    if "patience" in fields and fields["patience"] is None:
+        fields = {**fields, "patience": ""}
+    premises.ask(client, request(stream, **fields))
+    assert [answer[:3] for answer in premises.answers(client)] == [(4, stream, code)]
+    assert served(premises, client, engine, 2)
+    premises.ask(client, request(2) + bytes.fromhex("05000000630900000005000000100a000000"))
+    said = [answer[:3] for answer in premises.answers(client)]
+    assert said == [(4, 0, b"\3"), (4, 0, b"\3"), (32, 10, b"\1")]
+
+
+def test_more_than_the_open_streams_are_refused():
+    premises = Premises()
+    client = premises.client()
+    premises.ask(client, b"".join(request(n) for n in range(1, 36)))
+    assert [answer[1] for answer in premises.answers(client)] == [33, 34, 35]
+
+
+STAGES = [  # what the engine does, and what the client then hears at once
+    ([], b"", 0),
+    ([("t1", "WAIT", "-", "")], b"", 1), ([("t1", "BROKE", "-", "")], b"\3", 0),
+    ([("t1", "PAST", "-", "")], b"", 1),
+    ([("t1", "DONE", "chunks=2", "a\n"), ("t1", "BROKE", "-", "")], b"\3", 0),
+    ([("t1", "DONE", "chunks=2", "a\n"), ("t1", "MORE", "at=7", "a\n")], b"\3", 0),
+    ([("t1", "DONE", "chunks=9999999", "a\n")], b"\3", 0), ([("zz", "DONE", "-", "a\n")], b"\3", 0),
+    ([("t1", "WHAT", "-", "a\n")], b"\3", 0),
+]
+
+
+@pytest.mark.parametrize("says, code, again", STAGES)
+def test_only_proof_that_it_never_ran_lets_an_irreversible_one_go_again(says, code, again):
+    premises = Premises([listing(1, {}, {"id": "e2"})])
+    client, engines = premises.client(), {tag: premises.engine(tag) for tag in ("e1", "e2")}
+    premises.ask(client, request(route="once"))
+    first = next(tag for tag, sock in engines.items() if premises.heard(sock))
+    for parts in says:
+        premises.engine_says(engines[first], *parts)
+    if not says:
+        engines[first].close()
+        premises.turn()
+        code = b"\3"    # written, then broken: it may have run
+    other = engines["e2" if first == "e1" else "e1"]
+    assert [answer[2] for answer in premises.answers(client)] == [code][:len(code)]
+    assert premises.heard(other).count(b"fetch") == again
+
+
+def test_a_hand_off_that_waits_for_a_link_is_withdrawn_when_its_engine_drains():
+    premises = Premises()
+    client = premises.client()
+    premises.ask(client, request())
+    (errand,) = premises.house.errands.values()
+    assert not premises.house.event("2", json.dumps(listing(2, {"state": "DRAINING"}, full=False)))
+    assert errand.handoff.outcome == MOOT and not premises.house.stations["e1"].waiting
+    engine = premises.engine()
+    assert not premises.heard(engine)   # Danger: nothing begins after a drain
+
+
+def test_without_a_link_in_time_it_counts_as_unreached_and_is_answered_once():
+    premises = Premises()
+    client = premises.client()
+    premises.ask(client, request(route="once"))
+    premises.pass_time(4 * SECOND)
+    assert [answer[:3] for answer in premises.answers(client)] == [(4, 1, b"\2")]
+    assert any("unreached" in line for line in premises.logged)
+
+
+def test_a_late_answer_to_one_hand_off_is_not_taken_for_the_next():
+    premises = Premises(limits={"mostTries": 3, "streamsPerConn": 4})
+    client, engine = premises.client(), premises.engine()
+    served(premises, client, engine, patience="500")
+    premises.pass_time(SECOND)
+    assert premises.heard(engine) == command("abort", "t1")     # Danger: it works on until it hears
+    assert [answer[2] for answer in premises.answers(client)] == [b"\2"]
+    premises.ask(client, request(2, trace="t1"))
+    assert not premises.heard(engine)   # the same id: another link
+    second = premises.engine()
+    premises.engine_says(engine, "t1", "DONE", "chunks=1", "old\n")
+    assert not premises.answers(client) and b"fetch" in premises.heard(second)
+    premises.engine_says(second, "t1", "DONE", "chunks=1", "new\n")
+    assert premises.answers(client) == [(4, 2, b"\1", b"new\n")]
+
+
+def test_a_new_engine_at_an_old_address_gets_links_of_its_own():
+    premises = Premises()
+    engine = premises.engine()
+    premises.house.event("2", json.dumps(listing(2, {"id": "e2"})))
+    premises.turn()
+    assert engine.recv(10) == b""       # the old one is closed
+    assert premises.house.stations["e2"].engine.state == READY and not premises.house.stations["e2"].links
+
+
+def test_one_key_keeps_its_order_and_time_kept_back_goes_off_its_life():
+    premises = Premises()
+    one, two, engine = premises.client(), premises.client(), premises.engine()
+    keyed = dict(route="load", entity="00ff", nonce="n1")
+    sent = served(premises, one, engine, **keyed)
+    assert b"op=n1" in sent
+    premises.pass_time(600)
+    premises.ask(two, request(1, trace="u1", **keyed))
+    assert not premises.heard(engine)
+    assert [s.life for c in premises.house.callers for s in c.open.values()] == [30_000, 27_500]
+    premises.engine_says(engine, "t1", "DONE", "chunks=1", "a\n")
+    assert b"u1" in premises.heard(engine)
+
+
+def test_a_withdrawal_at_expiry_is_still_answered_an_early_one_is_not():
+    premises = Premises()
+    client = premises.client()
+    premises.ask(client, request(1) + request(2))
+    premises.ask(client, bytes.fromhex("050000000801000000"))
+    premises.pass_time(29_600)
+    premises.ask(client, bytes.fromhex("050000000802000000"))
+    assert [answer[1] for answer in premises.answers(client)] == [2]
+
+
+def test_all_that_is_open_is_answered_before_the_program_ends():
+    premises = Premises()
+    client, engine = premises.client(), premises.engine()
+    served(premises, client, engine, patience="60000")
+    premises.house.leave()
+    assert premises.answers(client)[0][:2] == (64, 0)
+    premises.pass_time(SECOND // 2)
+    late = premises.client()
+    premises.ask(late, request(1, trace="u1", patience="60000") + bytes.fromhex("050000001002000000"))
+    assert [answer[:3] for answer in premises.answers(late)] == [(64, 0, b""), (32, 2, b"\2")]
+    premises.pass_time(2 * SECOND)
+    premises.engine_says(engine, "u1", "DONE", "chunks=1", "a\n")
+    premises.pass_time(2 * SECOND)
+    answers = premises.answers(client) + premises.answers(late)
+    assert [answer[1:3] for answer in answers] == [(1, b"\2"), (1, b"\1")] and premises.hub.stopped
+
+
+def test_clients_that_do_not_read_cannot_fill_the_memory():
+    premises = Premises()
+    premises.house.results.most = 300_000
+    client, engine = premises.client(), premises.engine()
+    caller = next(iter(premises.house.callers))
+    caller.link.machine.outward.most = 5_000
+    for n in range(1, 20):
+        premises.ask(client, request(n, patience="4000"))
+        premises.engine_says(engine, f"t{n}", "DONE", "chunks=1", "x" * 6_000)
+    waiting = sum(len(piece) for entry in caller.waiting for piece in entry[2])
+    assert 0 < waiting <= 300_000 and premises.house.results.held == waiting
+    client.close()
+    premises.turn()
+    assert premises.house.results.held == 0 and not premises.house.callers
+
+
+def test_a_silent_link_is_asked_for_a_sign_before_the_engine_would_close_it():
+    premises = Premises(limits={"connIdleUs": 3_000_000})
+    engine = premises.engine()
+    link: EngineLink = premises.house.stations["e1"].links[0]
+    link.watch()
+    premises.pass_time(2 * SECOND)
+    assert premises.heard(engine).startswith(command("alive", "alive-1"))
+
+
+@pytest.mark.parametrize("event", [
+    "x", "[]", "{}", '{"n": "x"}', '{"n": 2, "members": 3}', '{"n": 2, "members": {"servers": [{}]}}',
+    json.dumps(listing(2, {"zone": "moon"})), json.dumps(listing(2, {"addr": "x"})),
+    json.dumps(listing(4, {}, full=False)),
+])
+def test_a_feed_event_that_makes_no_sense_changes_nothing(event):
+    premises = Premises()
+    assert premises.house.event("2", event)
+    assert premises.house.last_event == 1 and premises.house.stations["e1"].engine.state == READY
+    assert not premises.house.event("1", json.dumps(listing(1)))    # told before: left out
+
+
+@pytest.mark.parametrize("change, key", [
+    ({"listen": 5}, "listen"), ({"feed": "x"}, "feed"), ({"seed": "xyz"}, "seed"), ({"limits": []}, "limits"),
+    ({"limits": {"memory_mb": -1}}, "limits.memory_mb"), ({"limits": {"sockets": "x"}}, "limits.sockets"),
+    ({"limits": {"memory_mb": 8}}, "limits.memory_mb"), ({"known": {"n": "x"}}, "known.n"),
+    ({"known": {"n": 1, "events": 5}}, "known.events"), ({"settings": None}, "settings"),
+    ({"settings": {}}, "profiles"), ({"settings": {**STATED_ON_SOCKETS, "instances": 0}}, "instances"),
+    ({"settings": {**STATED_ON_SOCKETS, "rules": {"coldUs": -1}}}, "coldUs"),
+    ({"settings": {**STATED_ON_SOCKETS, "profiles": [{"effect": "x", "deadlineUs": 1}]}}, "effect"),
+])
+def test_a_faulty_configuration_is_told_by_its_key(change, key, tmp_path):
+    said = {"listen": "127.0.0.1:1", "feed": "127.0.0.1:2", "settings": STATED_ON_SOCKETS, **change}
+    (tmp_path / "c.json").write_text(json.dumps(said))
+    with pytest.raises(configuration.Faulty, match=key):
+        from corkgauge.net.host import House
+        House(Hub(), configuration.read({"EDGE_CONFIG": str(tmp_path / "c.json")}), print)
+
+
+@pytest.mark.parametrize("text", ["", "{", "[1]"])
+def test_a_configuration_that_is_no_object_is_told(text, tmp_path):
+    (tmp_path / "c.json").write_text(text)
+    for environment in ({}, {"EDGE_CONFIG": str(tmp_path / "c.json")}, {"EDGE_CONFIG": "/nowhere/at/all"}):
+        with pytest.raises(configuration.Faulty, match="EDGE_CONFIG"):
+            configuration.read(environment)
--- a/tests/yard.py
+++ b/tests/yard.py
@@ -1,7 +1,14 @@
 """A gateway on a host that writes down what it is told; the one helper of all tests."""
 
+import socket
+import traceback
+
 from corkgauge.control import Gateway
 from corkgauge.interface import HONOURED, READY, Engine, Offering, Submission
+from corkgauge.net.configuration import Post
+from corkgauge.net.engine_wire import command
+from corkgauge.net.host import EngineLink, House, Station
+from corkgauge.net.hub import Hub
 
 SECOND = 10_000
 QUICK = dict(name="quick", aim=SECOND, stretch=1.0, expiry=5 * SECOND, worth=1.0)
@@ -72,3 +79,94 @@
 
     def log(self, line):
         self.done.append(("log", line, None))
+
+
+STATED_ON_SOCKETS = {
+    "profiles": [{"name": "quick", "objectiveUs": 1_000_000, "deadlineUs": 5_000_000, "worth": 1.0},
+                 {"name": "load", "objectiveUs": 1_000_000, "deadlineUs": 5_000_000, "effect": "token",
+                  "fifoByKey": True, "keyTtlUs": 5_000_000},
+                 {"name": "once", "objectiveUs": 1_000_000, "deadlineUs": 5_000_000,
+                  "effect": "side_effect"}],
+    "customers": [{"name": "acme"}], "azs": ["east", "west"], "kinds": ["std"],
+    "extra": {"coresByKind": [8], "sizeMb": [1000], "mostGrant": 0.5, "takesGrants": True,
+              "takesPriority": True, "bills": True},
+    "limits": {"mostTries": 3, "streamsPerConn": 4}, "rules": {"coldShare": 0.3, "fallUs": 1_000_000}}
+ENGINE = {"id": "e1", "addr": "127.0.0.9:1", "zone": "east", "kind": "std", "state": "SERVING"}
+
+
+def listing(n, *servers, full=True):
+    return {"n": n, "members": {"full": full, "servers": [{**ENGINE, **each} for each in servers]}}
+
+
+def request(stream=1, body=b"select * from s_3.t", **fields):
+    fields = {"route": "quick", "trace": f"t{stream}", "patience": "3000", "customer": "acme",
+              "weight": "200", **fields}
+    said = bytes([len(fields)]) + b"".join(
+        bytes([len(k)]) + k.encode() + len(v.encode()).to_bytes(2, "little") + v.encode()
+        for k, v in fields.items() if v is not None)
+    length = 5 + len(said) + len(body)
+    return length.to_bytes(4, "little") + b"\2" + stream.to_bytes(4, "little") + said + body
+
+
+class Premises:
+    """A house on a fake clock; clients and engines are the other ends of socket pairs."""
+
+    def __init__(self, events=(listing(1, {}),), sockets=1024, **settings):
+        said = {"name": "n", "listen": "127.0.0.1:1", "feed": "127.0.0.1:2", "seed": "7", "limits": {
+            "sockets": sockets}, "known": {"n": 1, "events": list(events)}, "settings": {
+                **STATED_ON_SOCKETS, **settings}}
+        self.time, self.logged = 10 ** 9, []
+        self.hub = Hub(clock=lambda: self.time, troubled=lambda: self.logged.append(traceback.format_exc()))
+        Station.dial = lambda station, where: None      # no engine listens here: `engine` joins them by hand
+        self.house = House(self.hub, Post(said, ""), self.logged.append)
+        self.turn()
+
+    def turn(self, rounds=6):
+        for _ in range(rounds):
+            self.hub.turn(0)
+
+    def pass_time(self, span, step=50):
+        for _ in range(span // step):
+            self.time += step
+            self.turn(2)
+
+    def client(self):
+        mine, its = socket.socketpair()
+        self.house.accepted(its)
+        self.turn()
+        mine.setblocking(False)
+        return mine
+
+    def engine(self, tag="e1"):
+        mine, its = socket.socketpair()
+        station = self.house.stations[tag]
+        link = EngineLink(station, its)
+        station.links.append(link)
+        self.hub.spawn(link.link.run)
+        station.fill()
+        self.turn()
+        mine.setblocking(False)
+        return mine
+
+    def ask(self, sock, data):
+        sock.sendall(data)
+        self.turn()
+
+    def heard(self, sock):
+        self.turn()
+        try:
+            return sock.recv(1 << 20)
+        except BlockingIOError:
+            return b""
+
+    def answers(self, sock):
+        """Frames as (type, stream, code, body)."""
+        data, found = self.heard(sock), []
+        while data:
+            size = int.from_bytes(data[:4], "little")
+            frame, data = data[:4 + size], data[4 + size:]
+            found.append((frame[4], int.from_bytes(frame[5:9], "little"), frame[9:10], frame[11:]))
+        return found
+
+    def engine_says(self, sock, *parts):
+        self.ask(sock, command(*parts))
