Ended connections leave nothing behind; engines' rings apart from the clients'

Now link, machine and rings are taken apart at the end. A probe on socket pairs with 341 clients, 150 of them stuck in a frame of the largest size and the rest with 32 large statements: 64 MB at most; 5000 short connections after it: no more. A collection now waits for memory that is really held, not for the most ever held.

--- a/corkgauge/net/engine_wire.py
+++ b/corkgauge/net/engine_wire.py
@@ -17,7 +17,8 @@
 
     def __init__(self, owner: Any, allowance: Allowance) -> None:
         self.owner = owner
-        self.inward, self.outward = Ring(LARGEST, allowance), Ring(COMMAND, allowance)
+        # Danger: clients that stall hold what memory rings may grow by; answers must come in all the same.
+        self.inward, self.outward = Ring(LARGEST, allowance, LARGEST), Ring(COMMAND, allowance)
 
     def advance(self) -> str:
         """Take what is whole; what is wrong, if anything."""
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -170,7 +170,7 @@
         self.past: dict[str, None] = {}     # given up, an answer may still come
         self.retired = False
         self.alive = 0
-        self.link = Link(self.house.hub, sock, EngineWire(self, self.house.rings), self)
+        self.link = Link(self.house.hub, sock, EngineWire(self, self.house.lines), self)
 
     def room_for(self, order: Order) -> bool:
         # Danger: both hand-offs of a submission carry its id; a late answer to one would pass for the other.
@@ -324,7 +324,8 @@
     def __init__(self, hub: Hub, post: Post, log: Callable[[str], None]) -> None:
         self.hub, self.log, self.counters = hub, log, Counters()
         room = post.memory // 2
-        self.rings, self.results, self.statements = (Allowance(room // 3) for _ in range(3))
+        # Half of the memory is the program's own; these are the clients' rings, the engines', and so on.
+        self.rings, self.lines, self.results, self.statements = (Allowance(room // 4) for _ in range(4))
         self.links_most = post.sockets // 3     # a third is the clients', a third stays free
         self.end = NEVER        # when the last answer goes, once the program is told to end
         self.callers: dict[Caller, None] = {}
@@ -703,7 +704,7 @@
         while not hub.stopped:
             sock, why = dial(hub, self.where, SECOND)
             if sock is not None:
-                machine = feed_wire.FeedWire(self, self.house.rings)
+                machine = feed_wire.FeedWire(self, self.house.lines)
                 self.link = Link(hub, sock, machine, self)
                 self.link.send(feed_wire.request("%s:%d" % self.where, self.house.last_event))
                 self.watch(self.link)
--- a/corkgauge/net/link.py
+++ b/corkgauge/net/link.py
@@ -40,6 +40,8 @@
         self.owner.ended(self.why)
         self.machine.inward.close()
         self.machine.outward.close()
+        # Danger: nothing collects what points to each other; thousands of short connections would stay.
+        self.owner = self.machine.owner = None
 
     def _once(self) -> None:
         ring = self.machine.inward
--- a/corkgauge/net/program.py
+++ b/corkgauge/net/program.py
@@ -19,9 +19,15 @@
 from corkgauge.net.hub import READ, Hub
 
 BACKLOG = 4096
+MOST_MEMORY = 0.75      # of its limit, before garbage is collected
 BUSY = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
+def memory_held() -> int:
+    with open("/proc/self/statm", "rb") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
+
+
 def write_line(line: str) -> None:
     """Danger: a reader that stalls fills the pipe, and a write would block all; the line is lost instead."""
     poll = select.poll()
@@ -104,10 +110,11 @@
                     house.leave()
 
     def collect() -> None:
-        """What still points to each other is little (ended connections); it waits until it matters."""
-        if resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024 > 0.7 * post.memory:
-            logger.warning(f"collected {gc.collect()} objects, as memory is short")
-        hub.later(10 * SECOND, collect)
+        """Danger: a collection stops all for 100 ms; it waits until memory is short, and then for a while."""
+        short = memory_held() > MOST_MEMORY * post.memory
+        if short:
+            logger.warning(f"memory short, {memory_held() >> 20} MB; collected {gc.collect()} objects")
+        hub.later((30 if short else 1) * SECOND, collect)
 
     feed = Feed(house, post.feed)
     for task in accept, signals, feed.run:
@@ -115,7 +122,7 @@
     gc.collect()
     gc.freeze()
     gc.disable()
-    hub.later(10 * SECOND, collect)
+    hub.later(SECOND, collect)
     logger.info(f"serving as {post.name}, {len(house.stations)} engines, list {house.last_event}")
     hub.run()
     logger.info(f"ended; counters {house.counters.line()} worst_lag={hub.worst_lag}")
--- a/corkgauge/net/ring.py
+++ b/corkgauge/net/ring.py
@@ -102,3 +102,4 @@
 
     def close(self) -> None:
         self.drop(self.size)
+        self.store = bytearray()
