--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -38,6 +39,7 @@
 # Clients write submissions of one key so far apart, and so long after one that came on a new connection.
 APART, APART_NEW, ARRIVAL = 600, 2_500, 100
 OVERHEAD = 3_000        # bytes of memory that a submission takes beside its statement
+PLAIN = re.compile(r"[!-+\-.-<>-~]{1,128}").fullmatch
 STATES = {"SERVING": READY, "DRAINING": DRAINING, "DELETED": GONE}
 NOTES = {"advance": 1, "disk": 2, "stall": 3}
 
@@ -174,12 +176,12 @@
 
     def room_for(self, order: Order) -> bool:
         # Danger: both hand-offs of a submission carry its id; a late answer to one would pass for the other.
-        return not (self.retired or self.link.why or len(self.link.machine.outward) or
+        return not (self.retired or self.link.why or self.link.blocked or
                     len(self.open) >= self.house.stated.streams or
                     order.name in self.open or order.name in self.past)
 
     def take(self, errand: Errand) -> bool:
-        """Write a hand-off; nothing else is in the ring, so what is not begun can still be withdrawn."""
+        """Write a hand-off, unless there is no room."""
         house, order, handoff = self.house, errand.order, errand.handoff
         sub, stated = handoff.submission, house.stated
         fields = [f"sort={sub.offering.name}", f"patience={max((errand.until - house.now) // 10, 1)}"]
@@ -249,7 +251,7 @@
                 errand.link = None
                 self.station.waiting.append(errand)
             else:
-                self.house.failed(errand, "broken")
+                self.house.failed(errand, "broken" if station.engine.state == READY else "withdrawn")
         self.station.fill()
 
 
@@ -316,6 +318,9 @@
         errands, self.waiting = self.waiting, deque()
         for errand in errands:
             self.house.failed(errand, "withdrawn")
+        for link in self.links:     # nor may what a socket that takes no more has kept back
+            if any(errand.stage() == NOT_BEGUN for errand in link.open.values()):
+                link.link.end("unsent at a drain")
 
 
 class House:
@@ -675,8 +680,12 @@
 
 
 def plain(text: str) -> bool:
-    """May it stand in a command's fields unchanged?"""
-    return 0 < len(text) <= 128 and text.isprintable() and not set(text) & set(",= ")
+    """May it stand in a command's fields unchanged?
+
+    >>> plain("9b1f03aa"), plain(""), plain("a,b"), plain("a=b"), plain("a b"), plain("x" * 129)
+    (True, False, False, False, False, False)
+    """
+    return PLAIN(text) is not None
 
 
 def inflight_of(report: str, otherwise: float) -> float:
--- a/corkgauge/net/hub.py
+++ b/corkgauge/net/hub.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from heapq import heappop, heappush
+from operator import itemgetter
 from typing import Any
 
 from greenlet import getcurrent, greenlet
@@ -30,7 +31,11 @@
         self.now, self.stopped, self.worst_lag, self.serial = clock(), False, 0, 0
         self.began, self.lasted = self.now, 0       # this turn; and how long the one before took
         self.poller, self.parked = select.poll(), dict[int, tuple[greenlet, int]]()
-        self.ready, self.timers = deque[tuple[greenlet, tuple]](), list[tuple]()
+        self.ready = deque[tuple[greenlet, tuple]]()
+        # Timers by the whole millisecond that follows them, as poll knows no finer time: far cheaper than a
+        # heap of all, of which there are ten thousand and more.
+        self.timers, self.slots = dict[int, list[tuple]](), list[int]()
+        self.unsent = list[Callable[[], None]]()    # what tasks leave to do for the end of their turn
         self.main = getcurrent()
 
     def tick(self) -> None:
@@ -39,8 +44,12 @@
 
     def later(self, delay: int, method: Callable[..., None], *what: Any) -> None:
         """Call it once so much time has passed, never at once."""
-        self.serial += 1
-        heappush(self.timers, (self.now + max(delay, 1), self.serial, method, what))
+        when = self.now + max(delay, 1)
+        slot = -(-when // 10)
+        if slot not in self.timers:
+            self.timers[slot] = []
+            heappush(self.slots, slot)
+        self.timers[slot].append((when, method, what))
 
     def spawn(self, method: Callable[..., None], *what: Any) -> None:
         self.ready.append((greenlet(method, self.main), what))
@@ -53,7 +62,7 @@
             raise RuntimeError(f"two tasks wait for descriptor {fd}")
         alarm = 0
         if until is not None:
-            alarm = self.serial + 1
+            alarm = self.serial = self.serial + 1
             self.later(until - self.now, self._alarm, fd, alarm)
         self.parked[fd] = getcurrent(), alarm
         self.poller.register(fd, mask)
@@ -99,7 +108,7 @@
         wait = 0.0
         if not self.ready and not self.stopped:
             # Rounded up by poll, so a timer is never early.
-            wait = min(max(self.timers[0][0] - self.clock(), 0) / 10, most) if self.timers else most
+            wait = min(max(10 * self.slots[0] - self.clock(), 0) / 10, most) if self.slots else most
         self.lasted = self.now - self.began
         events = self.poller.poll(wait)
         self.tick()
@@ -108,11 +117,13 @@
             self.wake(fd, what)
 
     def _due(self) -> None:
-        while self.timers and self.timers[0][0] <= self.now and not self.stopped:
-            due, _, method, what = heappop(self.timers)
-            self.worst_lag = max(self.worst_lag, self.now - due)
-            self._guarded(method, what)
+        while self.slots and 10 * self.slots[0] <= self.now and not self.stopped:
+            for due, method, what in sorted(self.timers.pop(heappop(self.slots)), key=itemgetter(0)):
+                self.worst_lag = max(self.worst_lag, self.now - due)
+                self._guarded(method, what)
             self.tick()
+        while self.unsent:
+            self._guarded(self.unsent.pop(), ())
 
     def run(self) -> None:
         while not self.stopped:
--- a/corkgauge/net/link.py
+++ b/corkgauge/net/link.py
@@ -25,6 +25,7 @@
         self.hub, self.sock, self.machine, self.owner = hub, sock, machine, owner
         self.fd, self.why, self.stuck = sock.fileno(), "", stuck   # that one frame may take; 0: any time
         self.put, self.sent = 0, 0      # bytes, since it came up
+        self.blocked = self.unsent = False  # the socket takes no more; a write is due at the end of this turn
         self.heard = hub.now
 
     def run(self) -> None:
@@ -61,7 +62,7 @@
             self._read(bool(events & BROKEN))
 
     def _mask(self) -> int:
-        return (READ if self.machine.inward.free else 0) | (WRITE if len(self.machine.outward) else 0)
+        return (READ if self.machine.inward.free else 0) | (WRITE if self.blocked else 0)
 
     def _read(self, broken: bool) -> None:
         ring = self.machine.inward
@@ -87,20 +88,23 @@
                 return
 
     def send(self, *pieces: bytes) -> bool:
-        """Put all pieces and write what goes; False, with nothing put, where there is no room."""
+        """Put all pieces, to be written soon; False, with nothing put, where there is no room."""
         ring, size = self.machine.outward, sum(map(len, pieces))
         if self.why or not ring.reserve(len(ring) + size):
             return False
         for piece in pieces:
             ring.put(piece)
         self.put += size
-        self.flush()
+        if not (self.unsent or self.blocked):   # written with what else this turn puts: a write costs much
+            self.unsent = True
+            self.hub.unsent.append(self.flush)
         return True
 
     def flush(self) -> None:
-        """Write what the socket takes. A broken one is left to this link's own task: the caller may be in the
-        midst of a decision."""
-        ring = self.machine.outward
+        """Write what the socket takes."""
+        ring, self.unsent, self.blocked = self.machine.outward, False, False
+        if self.why:
+            return
         try:
             while len(ring):
                 size = self.sock.send(ring.stretch())
@@ -109,6 +113,7 @@
         except OSError as problem:
             if problem.errno not in RETRY:
                 return self.end(problem.strerror or "error")
+            self.blocked = True
         self.hub.interest(self.fd, self._mask())
         if not len(ring):
             self.owner.drained()
--- a/corkgauge/net/statement.py
+++ b/corkgauge/net/statement.py
@@ -17,6 +17,7 @@
             (\d{1,9}) ["`]? \s* \. \s* ["`]? [A-Za-z_\x80-\xff]"""
 TABLE = re.compile(rb"(?i) \b (?: from|join|into|update|table|using|only|overwrite|copy|exists ) \b [\s(]* "
                    + NAME, re.X)
+HIDES = re.compile(rb"['\"`]|--|/\*")
 ANYWHERE = re.compile(rb"(?i) (?<! [\w$.\x80-\xff] ) " + NAME, re.X)
 
 
@@ -26,6 +27,8 @@
     >>> tables_of(b"SELECT 'x from sales_3.a' FROM sales_17.orders"), tables_of(b"select 1")
     (17.0, 0.0)
     """
-    plain = NOISE.sub(rb" \1", statement)
-    found = TABLE.search(plain) or ANYWHERE.search(plain)
+    found = TABLE.search(statement)
+    if not found or HIDES.search(statement, 0, found.end()):    # what comes before it may hide it
+        plain = NOISE.sub(rb" \1", statement)
+        found = TABLE.search(plain) or ANYWHERE.search(plain)
     return float(found[1]) if found else 0.0
