A hand-off that never began is no fault of its engine's, but for a failed dial

Found on reading: one whose own time ended before its dial counted as unreached and rested its engine; a dial without a descriptor left its engine without dials for good; an engine's id that came back while a link to the one before was open was forgotten with that link; one put back in line after a broken link waited without end. Each has its test or its line now.

--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -52,13 +52,15 @@
 
     >>> outcome_of(NOT_BEGUN, "unreached") == UNREACHED, outcome_of(NOT_BEGUN, "withdrawn") == MOOT
     (True, True)
+    >>> outcome_of(NOT_BEGUN, "late") == MOOT    # its own time was too short: no fault of the engine's
+    True
     >>> outcome_of(PART_WRITTEN, "broken") == RESET, outcome_of(WRITTEN, "late") == TIMED_OUT
     (True, True)
     >>> outcome_of(ANSWERED, "broken") == ERROR
     True
     """
     if stage == NOT_BEGUN:
-        return MOOT if why == "withdrawn" else UNREACHED
+        return UNREACHED if why == "unreached" else MOOT
     if why == "late":
         return TIMED_OUT
     return ERROR if stage == ANSWERED else RESET
@@ -79,7 +81,7 @@
     """A hand-off under way: how far it has come, and its pages."""
 
     __slots__ = ("handoff", "order", "until", "station", "link", "begin", "end", "answered", "pages", "asked",
-                 "spent", "need", "load", "waits_since")
+                 "spent", "need", "load")
 
     def __init__(self, handoff: HandOff, until: int, station: "Station") -> None:
         self.handoff, self.order, self.until, self.station = handoff, handoff.submission.tag, until, station
@@ -241,18 +243,18 @@
     def ended(self, why: str) -> None:
         station = self.station
         station.links.remove(self)
-        if station.engine.state == GONE and not station.links and not station.waiting:
-            self.house.stations.pop(station.engine.tag, None)
         errands, self.open = [*self.open.values()], {}
         if errands:
-            self.house.log(f"link {self.station.engine.tag} ended: {why}; {len(errands)} out")
+            self.house.log(f"link {station.engine.tag} ended: {why}; {len(errands)} out")
         for errand in errands:
-            if errand.stage() == NOT_BEGUN and self.station.engine.state == READY:
+            if errand.stage() == NOT_BEGUN and station.engine.state == READY:
                 errand.link = None
-                self.station.waiting.append(errand)
+                station.waiting.append(errand)
+                self.house.hub.later(self.house.stated.dial_time, self.house.waited, errand)
             else:
-                self.house.failed(errand, "broken" if station.engine.state == READY else "withdrawn")
-        self.station.fill()
+                self.house.failed(errand, "broken")
+        self.house.close(station)
+        station.fill()
 
 
 class Station:
@@ -262,31 +264,26 @@
         self.house, self.engine, self.address = house, engine, ("", 0)
         self.links: list[EngineLink] = []
         self.waiting: deque[Errand] = deque()
-        self.dialling, self.filling = 0, False
+        self.dialling = False
 
     def fill(self) -> None:
         """Write what waits to links that have room; dial where there are none."""
-        if self.filling or self.engine.state != READY:
-            return      # Danger: a link that has written one asks for the next from within: one walk only
+        if self.engine.state != READY:
+            return
         while self.waiting:
             order = self.waiting[0].order
             link = next((each for each in self.links if each.room_for(order)), None)
-            if link is None:
-                break
-            self.filling = True
-            taken = link.take(self.waiting[0])
-            self.filling = False
-            if not taken:
+            if link is None or not link.take(self.waiting[0]):
                 break
             self.waiting.popleft()
         if (self.waiting or not self.links) and not self.dialling and (
                 len(self.links) < self.house.links_each()):
-            self.dialling += 1
+            self.dialling = True
             self.house.hub.spawn(self.dial, self.address)
 
     def dial(self, where: tuple[str, int]) -> None:
         sock, why = dial(self.house.hub, where, self.house.stated.dial_time)
-        self.dialling -= 1
+        self.dialling = False
         self.house.counters["dialled"] += 1
         if sock is None:
             self.house.counters["unreached"] += 1
@@ -351,6 +348,12 @@
             if wrong := self.listed(event):
                 self.log(f"known: {wrong}")
 
+    def close(self, station: "Station") -> None:
+        """Forget an engine that is gone, once nothing is left of it; its id may by then be another's."""
+        tag = station.engine.tag
+        if station.engine.state == GONE and not station.links and self.stations.get(tag) is station:
+            del self.stations[tag]
+
     def links_each(self) -> int:
         """Danger: with fewer links than hand-offs fill, an engine that is well would count as unreached."""
         return max(2, self.links_most // max(len(self.stations), 1))
@@ -371,8 +374,8 @@
         self.hub.later(allow, self.too_late, errand)
         station.waiting.append(errand)
         station.fill()
-        if errand.link is None:
-            self.hub.later(min(self.stated.dial_time, allow), self.waited, errand)
+        if errand.link is None and self.stated.dial_time < allow:
+            self.hub.later(self.stated.dial_time, self.waited, errand)
 
     def set_terms(self, submission: Submission, memory: float, priority: int) -> None:
         order = submission.tag
@@ -659,8 +662,7 @@
             if station.engine.state != READY:
                 station.withdraw()
                 station.told(station.address, False)
-                if station.engine.state == GONE and not station.links:
-                    del self.stations[station.engine.tag]
+                self.close(station)
             else:
                 station.fill()
         return ""
--- a/corkgauge/net/link.py
+++ b/corkgauge/net/link.py
@@ -126,8 +126,9 @@
 
 def dial(hub: Hub, address: tuple[str, int], span: int) -> tuple[socket.socket | None, str]:
     """A connected socket, or why not; only for tasks."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
+    sock = None
+    try:    # Danger: without a descriptor there is no socket either
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         code = sock.connect_ex(address)
         if code == errno.EINPROGRESS:
@@ -139,5 +140,6 @@
         code = problem.errno or errno.EIO
     if not code:
         return sock, ""
-    sock.close()
+    if sock is not None:
+        sock.close()
     return None, errno.errorcode.get(code, str(code))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,6 +11,7 @@
 from corkgauge.net.engine_wire import EngineWire, command
 from corkgauge.net.host import EngineLink
 from corkgauge.net.hub import Hub
+from corkgauge.net.link import dial
 from corkgauge.net.ring import Allowance, Ring
 from corkgauge.net.statement import tables_of
 from tests.yard import SECOND, STATED_ON_SOCKETS, Premises, listing, request
@@ -235,6 +236,35 @@
     assert any("unreached" in line for line in premises.logged)
 
 
+def test_a_hand_off_whose_own_time_ends_before_a_dial_tells_nothing_of_its_engine():
+    premises = Premises(limits={"mostTries": 1, "streamsPerConn": 4, "dialTimeoutUs": 5_000_000})
+    client = premises.client()
+    premises.ask(client, request(patience="400"))
+    (errand,) = premises.house.errands.values()
+    premises.pass_time(SECOND)
+    assert errand.handoff.outcome == MOOT and not premises.logged
+    assert [answer[2] for answer in premises.answers(client)] == [b"\2"]
+
+
+def test_no_descriptor_for_a_dial_is_a_value(monkeypatch):
+    def full(*_):
+        raise OSError(24, "Too many open files")
+    monkeypatch.setattr("corkgauge.net.link.socket.socket", full)
+    assert dial(Hub(), ("127.0.0.1", 1), SECOND) == (None, "EMFILE")
+
+
+def test_an_id_of_an_engine_that_is_gone_may_come_back():
+    premises = Premises()
+    engine, old = premises.engine(), premises.house.stations["e1"]
+    premises.ask(premises.client(), request())
+    premises.house.event("2", json.dumps(listing(2)))
+    premises.house.event("3", json.dumps(listing(3, {"started_ms": 5}, full=False)))
+    new = premises.house.stations["e1"]
+    engine.close()
+    premises.turn()
+    assert premises.house.stations["e1"] is new and not old.links and new.engine.state == READY
+
+
 def test_a_late_answer_to_one_hand_off_is_not_taken_for_the_next():
     premises = Premises(limits={"mostTries": 3, "streamsPerConn": 4})
     client, engine = premises.client(), premises.engine()
