--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -379,7 +379,7 @@
             rest = REST * 2 ** min(bad - 1, 4)
             view.rests_until = self.host.now + rest
             self.host.wake(rest, self._pump)
-            self.host.log(f"rest {engine.mark.hex()} {why} faults={bad} for={rest}")
+            self.host.log(f"rest {engine.name} {why} faults={bad} for={rest}")
 
     # Hand-offs.
 
@@ -492,7 +492,7 @@
         if outcome == HONOURED:
             view.heard = now
             if not self._trusted(view):
-                self.host.log(f"back {engine.mark.hex()} faults={sum(map(bool, view.faults))}")
+                self.host.log(f"back {engine.name} faults={sum(map(bool, view.faults))}")
             view.faults.append("")
             alone = max((work or sub.work) / offering.threads, 1)
             ratios = work / max(sub.estimate, 1), need / max(sub.memory, 1.0)
--- a/corkgauge/drill/door.py
+++ b/corkgauge/drill/door.py
@@ -75,7 +75,7 @@
         for tag, hall, kind, cell, state, _, since in entries:
             engine = self.engines.get(tag)
             if engine is None:
-                engine = self.engines[tag] = Engine(tag, tag, hall, kind, cell)
+                engine = self.engines[tag] = Engine(tag, tag, hall, kind, cell, name=tag.hex())
             self.stated.place(engine, hall, kind, cell)
             self.gateway.engine_told(engine, state, since // 100)
         self.gateway.list_told()
--- a/corkgauge/interface.py
+++ b/corkgauge/interface.py
@@ -54,6 +54,7 @@
     started: int = 0
     threads: int = 0            # threads of this gateway's hand-offs out there
     view: Any = None            # the gateway's last few measurements
+    name: str = ""              # for the log
 
 
 @dataclass(eq=False, slots=True)
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -651,7 +651,8 @@
         for tag, where, state, hall, kind, cell, started in entries:
             station = self.stations.get(tag)
             if station is None:
-                station = self.stations[tag] = Station(self, Engine(tag, tag.encode(), hall, kind, cell))
+                engine = Engine(tag, tag.encode(), hall, kind, cell, name=tag)
+                station = self.stations[tag] = Station(self, engine)
             engine = station.engine
             renewed = started > engine.started
             self.stated.place(engine, hall, kind, cell)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -233,7 +233,7 @@
     premises.ask(client, request(route="once"))
     premises.pass_time(4 * SECOND)
     assert [answer[:3] for answer in premises.answers(client)] == [(4, 1, b"\2")]
-    assert any("unreached" in line for line in premises.logged)
+    assert any(line.startswith("rest e1 unreached faults=1") for line in premises.logged)
 
 
 def test_a_hand_off_whose_own_time_ends_before_a_dial_tells_nothing_of_its_engine():
