--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -108,7 +108,7 @@
         sub.work = self._expected_work(sub)
         sub.aim = offering.aim + offering.stretch * sub.work / offering.threads
         # Danger: a gateway whose own processor is full answers all late; so then it dismisses what comes.
-        if sub.life <= self.margin or self.host.lag > MOMENT:
+        if sub.life <= self.margin or self.host.lag > 2 * MOMENT:
             return self._end(sub)
         self.host.wake(sub.life - self.margin, self.expiry_near, sub)
         if offering.ordered and sub.key:
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -460,7 +460,8 @@
             self.counters["overfull"] += 1
             return caller.answer(stream, REFUSED, [])
         life = min(int(life * 10), LONGEST, self.end - self.now)
-        life = max(life - self.held_back(int(key), stream == 1), 1)
+        # Danger: with a full processor it has waited unread, and its client counts that.
+        life = max(life - self.held_back(int(key), stream == 1) - self.lag, 1)
         sub = Submission(order, offering, tenant or 0, tables_of(body), self.now, life, int(work * 10),
                          float(memory), int(key))
         caller.open[stream] = sub
--- a/corkgauge/net/hub.py
+++ b/corkgauge/net/hub.py
@@ -92,8 +92,8 @@
 
     @property
     def lag(self) -> int:
-        """What comes now has waited about as long as a turn takes."""
-        return max(self.lasted, self.now - self.began)
+        """What is read now may have come just after the poll before the last: so long it has waited at most."""
+        return self.lasted + self.now - self.began
 
     def turn(self, most: float = 1000) -> None:
         """Tasks that are ready, timers that are due, then poll until the next thing or for so many ms."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -304,6 +304,16 @@
     assert b"u1" in premises.heard(engine)
 
 
+def test_time_that_a_submission_may_have_waited_unread_goes_off_its_life():
+    premises = Premises()
+    client = premises.client()
+    client.sendall(request(patience="3000"))
+    premises.hub.turn(0)
+    premises.time += 300    # a long turn: between the poll that saw it and the reading
+    premises.hub.turn(0)
+    assert [sub.life for caller in premises.house.callers for sub in caller.open.values()] == [29_700]
+
+
 def test_a_withdrawal_at_expiry_is_still_answered_an_early_one_is_not():
     premises = Premises()
     client = premises.client()
