--- a/corkgauge/net/hub.py
+++ b/corkgauge/net/hub.py
@@ -92,7 +92,7 @@
 
     @property
     def lag(self) -> int:
-        """What is read now may have come just after the poll before the last: so long it has waited at most."""
+        """What is read now may have come just after the poll before the last; so long it has waited."""
         return self.lasted + self.now - self.began
 
     def turn(self, most: float = 1000) -> None:
