--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -34,7 +34,7 @@
 LONGEST = 36_000_000    # that any client is believed to wait
 # After the signal to end: the longest expiry counts for so much at most; the rest is the page's 0.7 s, less
 # what it takes to write the last answers. Until then submissions still come.
-MOST_EXPIRY, LAST_ANSWERS, STILL_COMING = 3 * SECOND, 4_000, 9_000
+MOST_EXPIRY, TO_WRITE, STILL_COMING = 3 * SECOND, 4_000, 9_000
 LAST_MOMENT = 500       # before its expiry a client that withdraws is taken to have met it
 # Clients write submissions of one key so far apart, and so long after one that came on a new connection.
 APART, APART_NEW, ARRIVAL = 600, 2_500, 100
@@ -422,7 +422,7 @@
         if self.end != NEVER:
             return
         longest = max(offering.expiry for offering in self.stated.offerings)
-        self.end = self.now + min(longest, MOST_EXPIRY) + LAST_ANSWERS
+        self.end = self.now + min(longest, MOST_EXPIRY) + TO_WRITE
         subs = [sub for caller in self.callers for sub in caller.open.values()]
         self.log(f"leaving by {self.end}, {len(subs)} open")
         for caller in [*self.callers]:
@@ -434,7 +434,7 @@
     def gone(self) -> None:
         """End as soon as nothing is owed and all is written, or when it must be."""
         owed = any(each.open or each.waiting or len(each.link.machine.outward) for each in self.callers)
-        if owed and self.now < self.end + LAST_ANSWERS // 4:
+        if owed and self.now < self.end + TO_WRITE // 4:
             self.hub.later(100, self.gone)
         else:
             self.hub.stopped = True
