--- a/corkgauge/net/hub.py
+++ b/corkgauge/net/hub.py
@@ -29,7 +29,8 @@
                  troubled: Callable[[], None] = lambda: None) -> None:
         self.clock, self.troubled = clock, troubled     # called where an exception of a task or timer stops
         self.now, self.stopped, self.worst_lag, self.serial = clock(), False, 0, 0
-        self.began, self.lasted = self.now, 0       # this turn; and how long the one before took
+        # When this turn began, how long the one before took, and the longest but the first, which starts all.
+        self.began, self.lasted, self.worst_turn = self.now, 0, -1
         self.poller, self.parked = select.poll(), dict[int, tuple[greenlet, int]]()
         self.ready = deque[tuple[greenlet, tuple]]()
         # Timers by the whole millisecond that follows them, as poll knows no finer time: far cheaper than a
@@ -110,6 +111,7 @@
             # Rounded up by poll, so a timer is never early.
             wait = min(max(10 * self.slots[0] - self.clock(), 0) / 10, most) if self.slots else most
         self.lasted = self.now - self.began
+        self.worst_turn = max(self.worst_turn, self.lasted) if self.worst_turn >= 0 else 0
         events = self.poller.poll(wait)
         self.tick()
         self.began = self.now
@@ -125,6 +127,9 @@
         while self.unsent:
             self._guarded(self.unsent.pop(), ())
 
+    def worst(self) -> str:
+        return f"worst_lag={self.worst_lag} worst_turn={self.worst_turn}"
+
     def run(self) -> None:
         while not self.stopped:
             self.turn()
--- a/corkgauge/net/program.py
+++ b/corkgauge/net/program.py
@@ -105,7 +105,7 @@
             hub.wait(woken.fileno(), READ)
             for sign in woken.recv(64):
                 if sign == signal.SIGUSR1:
-                    logger.info(f"counters {house.counters.line()} worst_lag={hub.worst_lag}")
+                    logger.info(f"counters {house.counters.line()} {hub.worst()}")
                 else:
                     house.leave()
 
@@ -125,6 +125,6 @@
     hub.later(SECOND, collect)
     logger.info(f"serving as {post.name}, {len(house.stations)} engines, list {house.last_event}")
     hub.run()
-    logger.info(f"ended; counters {house.counters.line()} worst_lag={hub.worst_lag}")
+    logger.info(f"ended; counters {house.counters.line()} {hub.worst()}")
     return 0
 
