One reader of lines for the feed, one place that retires links, dead conditions gone

Read through, behaviour as before: three states of the feed's machine each read a line and asked for room in the same words; links of engines that are not ready were retired by both told and withdraw; the engines' machine asked for room that its ring, at its largest from the start, never gets; tables of words were made anew for each answer; an attribute that nobody read.

--- a/corkgauge/__main__.py
+++ b/corkgauge/__main__.py
@@ -4,6 +4,7 @@
 import os
 import sys
 
+from corkgauge import VERSION
 from corkgauge.net import configuration
 
 
@@ -16,7 +17,6 @@
     commands.add_parser("version", help="print the version")
     command = parser.parse_args().command
     if command == "version":
-        from corkgauge import VERSION
         print(VERSION)
         return 0
     try:
--- a/corkgauge/net/engine_wire.py
+++ b/corkgauge/net/engine_wire.py
@@ -29,7 +29,7 @@
             if wrong:
                 return wrong
             if not end:
-                if not ring.free and not ring.reserve(2 * len(ring)) and len(ring) == LARGEST:
+                if not ring.free:       # it starts at its largest
                     return "an answer that is too long"
                 break
             ring.drop(end - at)
--- a/corkgauge/net/feed_wire.py
+++ b/corkgauge/net/feed_wire.py
@@ -22,7 +22,8 @@
     def __init__(self, owner: Any, allowance: Allowance) -> None:
         self.owner = owner
         self.inward, self.outward = Ring(LARGEST, allowance), Ring(4096, allowance)
-        self.state, self.chunked = self._status, False
+        # What comes next: a line, which `heard` takes, or a stretch of events.
+        self.state, self.heard, self.chunked = self._line, self._status, False
         self.left = 0           # of a chunk
         self.text = bytearray()     # a part of a line of events
         self.number, self.data = "", list[str]()
@@ -32,44 +33,33 @@
             pass
         return "" if wrong == "more" else wrong
 
-    def _line(self) -> bytes | None:
+    def _line(self) -> str:
         data = self.inward.peek(len(self.inward))
         end = data.find(b"\n")
-        if end < 0:
-            return None
-        return self.inward.take(end + 1).rstrip(b"\r\n")
-
-    def _short(self) -> str:
-        """Nothing whole yet: is there still room for the rest?"""
+        if end >= 0:
+            return self.heard(self.inward.take(end + 1).rstrip(b"\r\n"))
         if len(self.inward) >= 16_384:
             return "a line that is too long"
         self.inward.reserve(2 * len(self.inward))
         return "more"
 
-    def _status(self) -> str:
-        line = self._line()
-        if line is None:
-            return self._short()
+    def _status(self, line: bytes) -> str:
         parts = line.split()
         if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or parts[1] != b"200":
             return f"status {line[:40]!r}"
-        self.state = self._headers
+        self.heard = self._headers
         return ""
 
-    def _headers(self) -> str:
-        line = self._line()
-        if line is None:
-            return self._short()
-        if not line:
-            self.state = self._chunk_size if self.chunked else self._plain
+    def _headers(self, line: bytes) -> str:
+        if not line and self.chunked:
+            self.heard = self._chunk_size
+        elif not line:
+            self.state = self._plain
         elif line.lower().startswith(b"transfer-encoding:") and b"chunked" in line.lower():
             self.chunked = True
         return ""
 
-    def _chunk_size(self) -> str:
-        line = self._line()
-        if line is None:
-            return self._short()
+    def _chunk_size(self, line: bytes) -> str:
         if not line:
             return ""       # the end of the chunk before
         try:
@@ -87,7 +77,7 @@
         data = self.inward.take(min(self.left, len(self.inward)))
         self.left -= len(data)
         if not self.left:
-            self.state = self._chunk_size
+            self.state = self._line
         return self._events(data)
 
     def _plain(self) -> str:
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -42,6 +42,8 @@
 PLAIN = re.compile(r"[!-+\-.-<>-~]{1,128}").fullmatch
 STATES = {"SERVING": READY, "DRAINING": DRAINING, "DELETED": GONE}
 NOTES = {"advance": 1, "disk": 2, "stall": 3}
+ENDS = {"WAIT": FULL, "BROKE": ERROR, "PAST": MOOT}
+COUNTED = {SERVED: "answered served", REFUSED: "answered refused", FAILED: "answered failed"}
 
 # How far an attempt had come when it failed. "Never ran" takes the first, or the engine's own word.
 NOT_BEGUN, PART_WRITTEN, WRITTEN, ANSWERED = range(4)
@@ -130,7 +132,7 @@
 
     def answer(self, stream: int, code: int, body: list[bytes], until: int = NEVER) -> None:
         house = self.house
-        house.counters["answered " + {SERVED: "served", REFUSED: "refused"}.get(code, "failed")] += 1
+        house.counters[COUNTED[code]] += 1
         if self.link.why or (not self.waiting and self._put(stream, code, body)):
             return
         # Danger: clients that do not read would fill the memory with results; they get a short answer.
@@ -152,8 +154,7 @@
             self._drop()
 
     def _drop(self) -> None:
-        if self.waiting:
-            self.house.results.give(sum(map(len, self.waiting.popleft()[2])))
+        self.house.results.give(sum(map(len, self.waiting.popleft()[2])))
 
     def ended(self, why: str) -> None:
         self.house.counters["connections ended"] += 1
@@ -303,15 +304,19 @@
 
     def told(self, where: tuple[str, int], renewed: bool) -> None:
         """The list names it: a link to what it was before is for nothing new."""
-        if where != self.address or renewed or self.engine.state != READY:
+        if where != self.address or renewed:
             self.address = where
-            for link in [*self.links]:
-                link.retired = True
-                if not link.open:
-                    link.link.end("no longer needed")
+            self.retire()
+
+    def retire(self) -> None:
+        for link in self.links:
+            link.retired = True
+            if not link.open:
+                link.link.end("no longer needed")
 
     def withdraw(self) -> None:
-        """Danger: a hand-off that waits for room would begin after a drain."""
+        """It drains or is gone. Danger: a hand-off that waits for room would begin after that."""
+        self.retire()
         errands, self.waiting = self.waiting, deque()
         for errand in errands:
             self.house.failed(errand, "withdrawn")
@@ -541,7 +546,7 @@
             if all(page is not None for page in errand.pages):
                 self.whole(errand)
             return ""
-        outcome = {"WAIT": FULL, "BROKE": ERROR, "PAST": MOOT}.get(word)
+        outcome = ENDS.get(word)
         if outcome is None or (errand.answered and word != "BROKE"):
             return f"an answer {word[:8]!r}"
         errand.link.forget(errand)
@@ -663,7 +668,6 @@
         for station in [*self.stations.values()]:
             if station.engine.state != READY:
                 station.withdraw()
-                station.told(station.address, False)
                 self.close(station)
             else:
                 station.fill()
--- a/corkgauge/stated.py
+++ b/corkgauge/stated.py
@@ -24,7 +24,7 @@
         most = figure(extra, "mostGrant", 1.0, 0) if extra.get("takesGrants") else 0.0
         self.most_memory = {kind: most * size for kind, size in enumerate(extra.get("sizeMb", []))}
         self.bills, self.grants = bool(extra.get("bills")), bool(extra.get("takesGrants"))
-        self.priorities, self.cancels = bool(extra.get("takesPriority")), bool(limits.get("cancel"))
+        self.priorities = bool(extra.get("takesPriority"))
         widths = extra.get("widthByClass", [])
         self.offerings = [offering(p, n, widths) for n, p in enumerate(said.get("profiles", []))]
         if not self.offerings:
@@ -38,7 +38,7 @@
         self.gateway = Gateway(
             host, seed=seed, number=figure(said, "myNumber", 0), gateways=figure(said, "instances", 1, 1),
             tick=-(-figure(said, "periodUs", 1000) // 100), offerings=self.offerings,
-            cancels=self.cancels, copies=bool(limits.get("secondCopies")),
+            cancels=bool(limits.get("cancel")), copies=bool(limits.get("secondCopies")),
             most_handoffs=figure(limits, "mostTries", 1, 1),
             come_back=figure(limits, "maxRetryAfterUs", 0) // 100 if limits.get("retryAfter") else 0,
             cold_share=figure(rules, "coldShare", 1.0, 0), cold_span=figure(rules, "coldUs", 0) // 100,
