--- a/corkgauge/net/client_wire.py
+++ b/corkgauge/net/client_wire.py
@@ -16,10 +16,11 @@
 
 
 class ClientWire:
-    """Reads frames and calls its owner: `requested`, `withdrawn`, `ready_asked`, `unreadable`."""
+    """Reads frames and calls its owner: `requested`, `withdrawn`, `ready_asked`, `unreadable`. Each says what
+    is wrong with the connection as a whole, if anything; so does `advance`."""
 
     def __init__(self, owner: Any, allowance: Allowance) -> None:
-        self.owner, self.last_stream = owner, 0
+        self.owner, self.last_stream, self.whole = owner, 0, 0
         self.inward, self.outward = (Ring(LARGEST + 4, allowance) for _ in "io")
 
     def advance(self) -> str:
@@ -30,28 +31,30 @@
             if not 5 <= length <= LARGEST:
                 return f"a frame of length {length}"
             if len(ring) < length + 4:
-                ring.reserve(length + 4)
+                if not ring.free:   # Danger: a length is only a claim; memory is held for what has come
+                    ring.reserve(min(length + 4, 2 * len(ring)))
                 break
             kind, stream = STREAM.unpack(ring.peek(5, 4))
             payload = ring.take(length + 4)[9:]
-            self._frame(kind, stream, payload)
+            self.whole += 1
+            if wrong := self._frame(kind, stream, payload):
+                return wrong
         return ""
 
-    def _frame(self, kind: int, stream: int, payload: bytes) -> None:
+    def _frame(self, kind: int, stream: int, payload: bytes) -> str:
         if kind == REQUEST:
-            if stream <= self.last_stream:
-                return self.owner.unreadable(0, f"stream {stream} is not new")
+            if stream <= self.last_stream:      # Danger: whose answer is it that comes under this number?
+                return f"stream {stream} is not new"
             self.last_stream = stream
             fields, body, wrong = fields_of(payload)
             if wrong:
                 return self.owner.unreadable(stream, wrong)
-            self.owner.requested(stream, fields, body)
-        elif kind == WITHDRAWN:
-            self.owner.withdrawn(stream)
-        elif kind == READY_ASKED:
-            self.owner.ready_asked(stream)
-        else:
-            self.owner.unreadable(0, f"a frame of type {kind}")
+            return self.owner.requested(stream, fields, body)
+        if kind == WITHDRAWN:
+            return self.owner.withdrawn(stream)
+        if kind == READY_ASKED:
+            return self.owner.ready_asked(stream)
+        return self.owner.unreadable(0, f"a frame of type {kind}")
 
 
 def fields_of(payload: bytes) -> tuple[dict[str, str], bytes, str]:
@@ -74,9 +77,12 @@
         if at > len(payload):
             return {}, b"", "a field cut short"
         try:
-            fields[payload[begin:middle].decode()] = payload[middle + 2:at].decode()
+            name, value = payload[begin:middle].decode(), payload[middle + 2:at].decode()
         except UnicodeDecodeError:
             return {}, b"", "a field that is not text"
+        if name in fields:
+            return {}, b"", "a field told twice"
+        fields[name] = value
     return fields, payload[at:], ""
 
 
--- a/corkgauge/net/configuration.py
+++ b/corkgauge/net/configuration.py
@@ -6,6 +6,10 @@
 import json
 from collections.abc import Mapping
 from typing import Any
+from zlib import crc32
+
+# What a running program cannot change; `feed` takes effect at once, `seed` and `known` count at a start only.
+AT_A_START = "name", "listen", "memory", "sockets", "mark"
 
 
 class Faulty(Exception):
@@ -36,6 +40,12 @@
         if not isinstance(self.events, list):
             raise Faulty(f"known.events: expected a list, found {self.events!r}"[:200])
         self.settings = part(said, "settings")
+        self.mark = crc32(json.dumps(self.settings, sort_keys=True).encode())
+
+    def changed(self, new: "Post") -> list[str]:
+        """The keys of a new configuration that wait for a restart."""
+        keys = {"memory": "limits.memory_mb", "sockets": "limits.sockets", "mark": "settings"}
+        return [keys.get(name, name) for name in AT_A_START if getattr(self, name) != getattr(new, name)]
 
 
 def read(environment: Mapping[str, str]) -> Post:
--- a/corkgauge/net/engine_wire.py
+++ b/corkgauge/net/engine_wire.py
@@ -16,7 +16,7 @@
     """Reads answers and calls its owner: `answered(id, word, fields, body)`, which says what is wrong."""
 
     def __init__(self, owner: Any, allowance: Allowance) -> None:
-        self.owner = owner
+        self.owner, self.whole = owner, 0
         # Danger: clients that stall hold what memory rings may grow by; answers must come in all the same.
         self.inward, self.outward = Ring(LARGEST, allowance, LARGEST), Ring(COMMAND, allowance)
 
@@ -33,6 +33,7 @@
                     return "an answer that is too long"
                 break
             ring.drop(end - at)
+            self.whole += 1
             at = end
             if not 2 <= len(parts) <= 4:
                 return f"an answer of {len(parts)} parts"
--- a/corkgauge/net/feed_wire.py
+++ b/corkgauge/net/feed_wire.py
@@ -20,7 +20,7 @@
     """Reads the stream and calls its owner: `event(id, data)`, which says what is wrong."""
 
     def __init__(self, owner: Any, allowance: Allowance) -> None:
-        self.owner = owner
+        self.owner, self.whole = owner, 0
         self.inward, self.outward = Ring(LARGEST, allowance), Ring(4096, allowance)
         # What comes next: a line, which `heard` takes, or a stretch of events.
         self.state, self.heard, self.chunked = self._line, self._status, False
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -7,8 +7,11 @@
 
 import json
 import re
+import sys
 from collections import deque
 from collections.abc import Callable
+from fcntl import ioctl
+from termios import FIONREAD
 from typing import Any
 
 from corkgauge.interface import (CALLED_OFF, DRAINING, ERROR, FULL, GONE, HONOURED, LABELLED, MOOT, READY,
@@ -30,8 +33,13 @@
 PAGE = 6_000
 MOST_PAGES = 256
 NEVER = 2 ** 62
-STUCK = 10 * SECOND     # that a client may take over one frame
-LONGEST = 36_000_000    # that any client is believed to wait
+LEAST_PAUSE, MOST_PAUSE = SECOND // 20, SECOND // 2     # between two dials of a feed that does not come up
+FEED_SILENT = 15_000
+STUCK = 15_000          # that a client may take over one frame, and before its first is whole
+SETTLED = 500           # that a connection must have been quiet before it gives way to others
+ROOM = 16               # connections that give way at once
+MOST_FAULTS = 32        # of one client, before its connection ends
+HEAVIEST = 3.6e6        # milliseconds of work that any submission may claim
 # After the signal to end: the longest expiry counts for so much at most; the rest is the page's 0.7 s, less
 # what it takes to write the last answers. Until then submissions still come.
 MOST_EXPIRY, TO_WRITE, STILL_COMING = 3 * SECOND, 4_000, 9_000
@@ -40,6 +48,9 @@
 APART, APART_NEW, ARRIVAL = 600, 2_500, 100
 OVERHEAD = 3_000        # bytes of memory that a submission takes beside its statement
 PLAIN = re.compile(r"[!-+\-.-<>-~]{1,128}").fullmatch
+NAME = re.compile(r"[0-9a-f]{16}").fullmatch
+KEY = re.compile(r"[0-9a-fA-F]{1,16}").fullmatch
+BLANK = re.compile(rb"\s*+").fullmatch
 STATES = {"SERVING": READY, "DRAINING": DRAINING, "DELETED": GONE}
 NOTES = {"advance": 1, "disk": 2, "stall": 3}
 ENDS = {"WAIT": FULL, "BROKE": ERROR, "PAST": MOOT}
@@ -107,32 +118,57 @@
         self.house = house
         self.open: dict[int, Submission | None] = {}
         self.waiting: deque[tuple[int, int, list[bytes], int]] = deque()    # without room, and until when
-        self.link = Link(house.hub, sock, ClientWire(self, house.rings), self, STUCK)
+        self.faults, self.answered, self.gave_up = 0, 0, 0
+        self.link = Link(house.hub, sock, ClientWire(self, house.rings), self, STUCK, True)
 
-    def requested(self, stream: int, fields: dict[str, str], body: bytes) -> None:
-        self.house.requested(self, stream, fields, body)
+    def requested(self, stream: int, fields: dict[str, str], body: bytes) -> str:
+        if len(self.waiting) > 2 * MOST_OPEN:   # Danger: answers for one that does not read fill the memory
+            return "answers are not read"
+        return self.house.requested(self, stream, fields, body)
 
-    def withdrawn(self, stream: int) -> None:
+    def withdrawn(self, stream: int) -> str:
         self.house.counters["withdrawn"] += 1
+        self.gave_up += 1
         sub, house = self.open.get(stream), self.house
         if sub is not None and house.now >= sub.taken + sub.life - LAST_MOMENT:
             # Danger: it is its expiry that has come, a little before ours; an answer is still owed.
             house.gateway.expiry_near(sub)
         else:
             house.left(self.open.pop(stream, None))
+        # Danger: what is asked for by hundreds and taken back at once is work for nobody.
+        return "withdrawn too often" if self.gave_up > max(MOST_FAULTS, 2 * self.answered) else ""
 
-    def ready_asked(self, stream: int) -> None:
+    def ready_asked(self, stream: int) -> str:
         self.house.counters["asked ready"] += 1
         code = 1 if self.house.end == NEVER else 2
-        self.link.send(frame_head(client_wire.READY, stream, code, 0))
+        sent = self.link.send(frame_head(client_wire.READY, stream, code, 0))
+        return "" if sent else "answers are not read"
 
-    def unreadable(self, stream: int, why: str) -> None:
+    def unreadable(self, stream: int, why: str) -> str:
+        """Nobody can use it: told on its stream. Danger: one that sends nothing else costs all the others."""
         self.house.counters["unreadable"] += 1
+        self.faults += 1
         self.answer(stream, FAILED, [why.encode()])
+        return "" if self.faults <= MOST_FAULTS else "too much that cannot be used"
+
+    def parting(self, why: str) -> None:
+        """It is turned out. What it has open is given up, so it is answered now; then comes the reason."""
+        self.house.counters["turned out"] += 1
+        for sub in [*self.open.values()]:
+            self.house.gateway.expiry_near(sub)
+        self.answer(0, FAILED, [why.encode()])
+
+    def idle(self) -> bool:
+        """Nothing is owed, nothing has come for a while, nothing lies unread."""
+        link = self.link
+        if self.open or self.waiting or self.house.now < link.heard + SETTLED:
+            return False
+        return link.parting or not (link.why or len(link.machine.outward) or unread(link.sock))
 
     def answer(self, stream: int, code: int, body: list[bytes], until: int = NEVER) -> None:
         house = self.house
         house.counters[COUNTED[code]] += 1
+        self.answered += 1
         if self.link.why or (not self.waiting and self._put(stream, code, body)):
             return
         # Danger: clients that do not read would fill the memory with results; they get a short answer.
@@ -325,6 +361,23 @@
                 link.link.end("unsent at a drain")
 
 
+class Aside:
+    """Stands in for the host where settings are only checked."""
+
+    now = lag = 0
+
+    def wake(self, *_: Any) -> None:
+        pass
+
+
+def stated_of(post: Post, host: Any) -> Stated:
+    """What a configuration states, or the fault in it."""
+    try:
+        return Stated(post.settings, host, post.seed)
+    except (ValueError, TypeError, AttributeError, KeyError) as problem:
+        raise Faulty(f"settings: {problem}") from None
+
+
 class House:
     """The host protocol on sockets."""
 
@@ -336,16 +389,16 @@
         self.links_most = post.sockets // 3     # a third is the clients', a third stays free
         self.end = NEVER        # when the last answer goes, once the program is told to end
         self.callers: dict[Caller, None] = {}
+        self.most_callers = post.sockets // 2   # a third is the usual ones'
+        self.names: dict[str, Submission] = {}  # of what is open
         self.stations: dict[str, Station] = {}
         self.errands: dict[HandOff, Errand] = {}
         self.page_line: deque[Errand] = deque()
         self.ended: deque[Submission] = deque()
         self.keys: dict[int, tuple[int, int, bool]] = {}    # when one came, kept back how long, on a new link
-        try:
-            self.stated = Stated(post.settings, self, post.seed)
-        except (ValueError, TypeError, AttributeError, KeyError) as problem:
-            raise Faulty(f"settings: {problem}") from None
+        self.stated = stated_of(post, self)
         self.gateway = self.stated.gateway
+        self.most_memory = max(self.stated.sizes, default=1e6)
         self.offerings = {each.name: each for each in self.stated.offerings}
         self.tenants = {name: n for n, name in enumerate(self.stated.tenants)}
         self.last_event = post.known
@@ -414,6 +467,17 @@
 
     # Clients.
 
+    def make_room(self) -> bool:
+        """Danger: connections that say nothing, or nothing more, would keep others at the door. Those that
+        never asked for anything give way first, then those that have been quiet longest."""
+        quiet = sorted((caller for caller in self.callers if caller.idle()),
+                       key=lambda each: (not each.link.parting, each.link.machine.whole > 0, each.link.heard))
+        for caller in quiet[:ROOM]:
+            self.counters["gave way"] += 1
+            caller.link.parting = False
+            caller.link.end("room for others")
+        return bool(quiet)
+
     def accepted(self, sock: Any) -> None:
         caller = Caller(self, sock)
         self.callers[caller] = None
@@ -444,33 +508,40 @@
         else:
             self.hub.stopped = True
 
-    def requested(self, caller: Caller, stream: int, fields: dict[str, str], body: bytes) -> None:
+    def requested(self, caller: Caller, stream: int, fields: dict[str, str], body: bytes) -> str:
         # Danger: what it says is a stranger's; nothing of it may raise.
         self.counters["taken"] += 1
         self.forget()
         offering = self.offerings.get(fields.get("route", ""))
         tenant = self.tenants.get(fields.get("customer", ""))
         life, work, memory = (amount(fields.get(name) or "0") for name in ("patience", "weight", "est_mb"))
-        name, key = fields.get("trace", ""), amount(fields.get("entity") or "0", 16)
+        name, key, nonce = fields.get("trace", ""), fields.get("entity") or "0", fields.get("nonce", "")
+        # Danger: an engine closes on what it cannot use, with all that others have open there. A figure that
+        # is named must be one; nobody waits longer than its offering lets it; an id names one submission.
         wrong = ("route" if offering is None else "customer" if tenant is None and self.tenants else
-                 "patience" if life is None or life <= 0 else "weight" if work is None else
-                 "est_mb" if memory is None else "entity" if key is None else
-                 "trace" if not plain(name) else
-                 "nonce" if not plain(fields.get("nonce") or "-") else "")
+                 "patience" if not life or life * 10 > offering.expiry + 10 else
+                 "weight" if work is None or work > HEAVIEST or fields.get("weight") and not work else
+                 "est_mb" if memory is None or memory > self.most_memory else
+                 "entity" if not KEY(key) else "trace" if not NAME(name) or name in self.names else
+                 "nonce" if not plain(nonce or ("" if offering.repeat == LABELLED else "-")) else
+                 "statement" if not text(body) else "")
         if wrong:
             return caller.unreadable(stream, f"{wrong}: unusable")
-        label = fields.get("nonce", "") if offering.repeat == LABELLED else ""
+        key, label = int(key, 16), nonce if offering.repeat == LABELLED else ""
         order = Order(caller, stream, name, label, body)
         if len(caller.open) >= MOST_OPEN or not self.statements.take(order.size):
             self.counters["overfull"] += 1
-            return caller.answer(stream, REFUSED, [])
-        life = min(int(life * 10), LONGEST, self.end - self.now)
+            caller.faults += len(caller.open) >= MOST_OPEN
+            caller.answer(stream, REFUSED, [])
+            return "" if caller.faults <= MOST_FAULTS else "too many open at once"
+        life = min(int(life * 10), self.end - self.now)
         # Danger: with a full processor it has waited unread, and its client counts that.
-        life = max(life - self.held_back(int(key), stream == 1) - self.lag, 1)
+        life = max(life - self.held_back(key, stream == 1) - self.lag, 1)
         sub = Submission(order, offering, tenant or 0, tables_of(body), self.now, life, int(work * 10),
-                         float(memory), int(key))
-        caller.open[stream] = sub
+                         float(memory), key)
+        caller.open[stream] = self.names[name] = sub
         self.gateway.submission_taken(sub)
+        return ""
 
     def held_back(self, key: int, new: bool) -> int:
         """How long a client may have kept back a submission after its stamp, to keep those of a key apart.
@@ -493,6 +564,7 @@
         order = submission.tag
         if order.caller.open.pop(order.stream, None) is not None:
             self.statements.give(order.size)
+            self.names.pop(order.name, None)
             self.ended.append(submission)
             order.caller.answer(order.stream, code, body, submission.taken + submission.life)
 
@@ -510,6 +582,7 @@
         """Its client waits no longer."""
         if submission is not None:
             self.statements.give(submission.tag.size)
+            self.names.pop(submission.tag.name, None)
             self.gateway.submission_left(submission)
             self.ended.append(submission)
 
@@ -674,17 +747,35 @@
         return ""
 
 
-def amount(text: str, base: int = 10) -> float | int | None:
+def amount(text: str) -> float | None:
     """A number that makes sense, or None.
 
-    >>> amount("820.0"), amount("7f", 16), amount("-3"), amount("nan"), amount("x"), amount("1e99")
-    (820.0, 127, None, None, None, None)
+    >>> amount("820.0"), amount("-3"), amount("nan"), amount("x"), amount("1e99")
+    (820.0, None, None, None, None)
     """
     try:
-        value = int(text, 16) if base == 16 else float(text)
+        value = float(text)
     except ValueError:
         return None
-    return value if 0 <= value < (2 ** 64 if base == 16 else 1e12) else None
+    return value if 0 <= value < 1e12 else None
+
+
+def text(statement: bytes) -> bool:
+    """May it go on to an engine?
+
+    >>> text(b"select 1"), text(b""), text(b" "), text(b"a" + bytes(1)), text(bytes([255]))
+    (True, False, False, False, False)
+    """
+    try:
+        statement.decode()
+    except UnicodeDecodeError:
+        return False
+    return b"\0" not in statement and BLANK(statement) is None
+
+
+def unread(sock: Any) -> int:
+    """Bytes that have come and were not read."""
+    return int.from_bytes(ioctl(sock.fileno(), FIONREAD, b"\0" * 4), sys.byteorder)
 
 
 def plain(text: str) -> bool:
@@ -710,16 +801,21 @@
 
 
 class Feed:
-    """Keeps the control feed connected."""
+    """Keeps the control feed at one address connected, until it is left for another."""
 
     def __init__(self, house: House, where: tuple[str, int]) -> None:
         self.house, self.where, self.link = house, where, None
-        self.pause = 0
+        self.pause, self.lost, self.left = 0, False, False
 
     def run(self) -> None:
         hub = self.house.hub
-        while not hub.stopped:
+        while not (hub.stopped or self.left):
+            begun = hub.now
             sock, why = dial(hub, self.where, SECOND)
+            if self.left:
+                if sock is not None:
+                    sock.close()
+                return
             if sock is not None:
                 machine = feed_wire.FeedWire(self, self.house.lines)
                 self.link = Link(hub, sock, machine, self)
@@ -727,23 +823,37 @@
                 self.watch(self.link)
                 self.link.run()
                 why = self.link.why
-            if not self.pause:
+            if not (self.lost or self.left):
+                self.lost = True
                 self.house.log(f"feed lost: {why}")
-            self.pause = min(max(2 * self.pause, 1000), SECOND)
-            hub.sleep(self.pause)
+            # Danger: what it tells holds soon after a break, heard or not. So the first try is at once, and
+            # only those that end at once again wait, each longer.
+            if hub.now - begun > SECOND:
+                self.pause = 0
+            if self.pause and not self.left:
+                hub.sleep(self.pause)
+            self.pause = min(max(2 * self.pause, LEAST_PAUSE), MOST_PAUSE)
+
+    def leave(self) -> None:
+        """Another address holds from now on."""
+        self.left = True
+        if self.link is not None:
+            self.link.end("left for another")
 
     def event(self, number: str, data: str) -> str:
-        if self.pause:
-            self.pause = 0
+        self.pause = 0
+        if self.lost:
+            self.lost = False
             self.house.log(f"feed back at {self.house.last_event}")
         return self.house.event(number, data)
 
     def watch(self, link: Link) -> None:
-        """A comment comes each second; without any sign it is dead."""
+        """Danger: a feed that stops keeps its connection open. A comment comes each second; without any sign
+        for half a second more it is dead."""
         if link is self.link and not link.why:
-            if self.house.now - link.heard > 3 * SECOND:
+            if self.house.now - link.heard > FEED_SILENT:
                 return link.end("silent")
-            self.house.hub.later(SECOND, self.watch, link)
+            self.house.hub.later(FEED_SILENT // 8, self.watch, link)
 
     def drained(self) -> None:
         pass
--- a/corkgauge/net/link.py
+++ b/corkgauge/net/link.py
@@ -11,19 +11,29 @@
 from corkgauge.net.hub import BROKEN, READ, WRITE, Hub
 
 ROUNDS = 2          # reads in a row, before others have their turn
+MOST_READ = 16_384  # bytes of one
 STALLED = 500       # until a link that found no room in memory asks again
+FAREWELL = 10_000   # that a peer which is turned out has for reading why
+UNREAD = bytearray(65_536)      # where what it still sends goes, of all of them
+NEVER = 2 ** 62
 RETRY = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 
 
 class Link:
-    """Calls its owner's `drained` when all that was put has left, and `ended(why)` at the end."""
+    """Calls its owner's `drained` when all that was put has left, and `ended(why)` at the end.
 
-    def __init__(self, hub: Hub, sock: socket.socket, machine: Any, owner: Any, stuck: int = 0) -> None:
+    Where a frame may take a time only (`stuck`), it begins with its first byte; the first one, where
+    `greets`, with the connection. A peer that `greets` is told why it is turned out: `parting(why)` first.
+    """
+
+    def __init__(self, hub: Hub, sock: socket.socket, machine: Any, owner: Any, stuck: int = 0,
+                 greets: bool = False) -> None:
         sock.setblocking(False)
         if sock.family == socket.AF_INET:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.hub, self.sock, self.machine, self.owner = hub, sock, machine, owner
         self.fd, self.why, self.stuck = sock.fileno(), "", stuck   # that one frame may take; 0: any time
+        self.greets, self.parting, self.since = greets, False, hub.now
         self.put, self.sent = 0, 0      # bytes, since it came up
         self.blocked = self.unsent = False  # the socket takes no more; a write is due at the end of this turn
         self.heard = hub.now
@@ -33,6 +43,8 @@
         try:
             while not self.why:
                 self._once()
+            if self.parting:
+                self._farewell()
         except Exception as problem:
             self.why = f"{type(problem).__name__}: {problem}"
             self.hub.troubled()
@@ -48,18 +60,28 @@
         ring = self.machine.inward
         room = bool(ring.free)
         until = None if room else self.hub.now + STALLED
-        if self.stuck and len(ring) and room:
-            until = self.heard + self.stuck
+        if self._unfinished():
+            until = min(until or NEVER, self.since + self.stuck)
         events = self.hub.wait(self.fd, self._mask(), until)
         if events & WRITE:
             self.flush()
         if not room and not self.why:
-            self.why = self.machine.advance()
-        if self.stuck and len(ring) and self.hub.now - self.heard >= self.stuck:
-            # Danger: frames that never end would hold the rings' memory for ever.
-            self.why = self.why or "a frame that does not end"
+            self._advance()
         if events & (READ | BROKEN) and not self.why:
             self._read(bool(events & BROKEN))
+        if not self.why and self._unfinished() and self.hub.now >= self.since + self.stuck:
+            # Danger: frames that never end, byte by byte or not at all, would hold memory and a descriptor.
+            self.part("a frame that does not end" if len(ring) else "nothing said")
+
+    def _unfinished(self) -> bool:
+        return bool(self.stuck) and (len(self.machine.inward) > 0 or (self.greets and not self.machine.whole))
+
+    def _advance(self) -> None:
+        whole = self.machine.whole
+        if why := self.machine.advance():
+            self.part(why)
+        if whole != self.machine.whole:
+            self.since = self.hub.now
 
     def _mask(self) -> int:
         return (READ if self.machine.inward.free else 0) | (WRITE if self.blocked else 0)
@@ -67,7 +89,7 @@
     def _read(self, broken: bool) -> None:
         ring = self.machine.inward
         for _ in range(ROUNDS):
-            gap = ring.gap()
+            gap = ring.gap()[:MOST_READ]
             if not len(gap):
                 if broken:      # nothing more can be read, and poll would come back at once for ever
                     self.why = "broken"
@@ -82,8 +104,10 @@
                 self.why = "closed"
                 return
             self.heard = self.hub.now
+            if not len(ring) and (self.machine.whole or not self.greets):
+                self.since = self.hub.now
             ring.filled(size)
-            self.why = self.machine.advance()
+            self._advance()
             if self.why or size < len(gap):
                 return
 
@@ -123,6 +147,32 @@
         self.why = self.why or why
         self.hub.wake(self.fd)
 
+    def part(self, why: str) -> None:
+        """Turn the peer out; one that greets is told first."""
+        if self.greets and not self.why:
+            self.parting = True
+            self.owner.parting(why)
+        self.end(why)
+
+    def _farewell(self) -> None:
+        """Danger: a close with unread input is a reset, and takes what was said last with it. So the peer is
+        shown the end, and what it still sends is dropped, for a while."""
+        ring, until, shut = self.machine.outward, self.hub.now + FAREWELL, False
+        while self.parting and self.hub.now < until:
+            try:
+                while len(ring):
+                    ring.drop(self.sock.send(ring.stretch()))
+                if not shut:
+                    self.sock.shutdown(socket.SHUT_WR)
+                    shut = True
+                if not self.sock.recv_into(UNREAD):
+                    return
+                self.hub.sleep(1)   # Danger: one that sends without end; the others have their turn
+            except OSError as problem:
+                if problem.errno not in RETRY:
+                    return
+                self.hub.wait(self.fd, READ | (WRITE if len(ring) else 0), until)
+
 
 def dial(hub: Hub, address: tuple[str, int], span: int) -> tuple[socket.socket | None, str]:
     """A connected socket, or why not; only for tasks."""
--- a/corkgauge/net/program.py
+++ b/corkgauge/net/program.py
@@ -11,11 +11,13 @@
 import signal
 import socket
 import sys
+from collections.abc import Mapping
 
 from loguru import logger
 
+from corkgauge.net import configuration
 from corkgauge.net.configuration import Faulty, Post
-from corkgauge.net.host import SECOND, Feed, House
+from corkgauge.net.host import SECOND, Aside, Feed, House, stated_of
 from corkgauge.net.hub import READ, Hub
 
 BACKLOG = 4096
@@ -52,6 +54,31 @@
             self.next, self.untold = self.hub.now + SECOND, 0
 
 
+class Source:
+    """Where the control feed is; a new configuration may move it."""
+
+    def __init__(self, house: House, post: Post) -> None:
+        self.house, self.post, self.feed = house, post, Feed(house, post.feed)
+        house.hub.spawn(self.feed.run)
+
+    def reload(self, environment: Mapping[str, str]) -> None:
+        """Read the configuration again. Danger: a faulty one must change nothing at all, and a good one must
+        disturb nothing that is open; so only the feed moves, and what else has changed is named."""
+        try:
+            new = configuration.read(environment)
+            stated_of(new, Aside())
+        except Faulty as problem:
+            return self.house.log(f"configuration not taken: {problem}")
+        if changed := self.post.changed(new):
+            self.house.log(f"configuration: {', '.join(changed)} changed, in force after a restart")
+        if new.feed != self.post.feed:
+            self.house.log("feed moves to %s:%d at " % new.feed + str(self.house.last_event))
+            self.post.feed = new.feed
+            self.feed.leave()
+            self.feed = Feed(self.house, new.feed)
+            self.house.hub.spawn(self.feed.run)
+
+
 def check(post: Post) -> int:
     """Everything that serving would read, and no more."""
     house = House(Hub(), post, lambda line: print(f"corkgauge: {line}", file=sys.stderr))
@@ -79,20 +106,21 @@
     for end in woken, waker:
         end.setblocking(False)
     signal.set_wakeup_fd(waker.fileno(), warn_on_full_buffer=False)
-    for sign in signal.SIGTERM, signal.SIGINT, signal.SIGUSR1:
+    for sign in signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP:
         signal.signal(sign, lambda *_: None)
 
     def accept() -> None:
         while True:
             hub.wait(listener.fileno(), READ)
-            while len(house.callers) >= post.sockets // 2:  # a third is theirs; more wait at the door
-                hub.sleep(500)
             for _ in range(64):
+                while len(house.callers) >= house.most_callers:
+                    hub.sleep(1 if house.make_room() else 50)   # more wait at the door
                 try:
                     sock, _ = listener.accept()
                 except OSError as problem:
                     if problem.errno in BUSY:
-                        hub.sleep(500)
+                        house.make_room()
+                        hub.sleep(50)
                     break
                 try:
                     house.accepted(sock)
@@ -106,6 +134,8 @@
             for sign in woken.recv(64):
                 if sign == signal.SIGUSR1:
                     logger.info(f"counters {house.counters.line()} {hub.worst()}")
+                elif sign == signal.SIGHUP:
+                    feed.reload(os.environ)
                 else:
                     house.leave()
 
@@ -116,8 +146,8 @@
             logger.warning(f"memory short, {memory_held() >> 20} MB; collected {gc.collect()} objects")
         hub.later((30 if short else 1) * SECOND, collect)
 
-    feed = Feed(house, post.feed)
-    for task in accept, signals, feed.run:
+    feed = Source(house, post)
+    for task in accept, signals:
         hub.spawn(task)
     gc.collect()
     gc.freeze()
--- a/corkgauge/stated.py
+++ b/corkgauge/stated.py
@@ -22,7 +22,8 @@
         self.fields = list(report.get("fields", []))
         self.cores = dict(enumerate(map(float, extra.get("coresByKind", []))))
         most = figure(extra, "mostGrant", 1.0, 0) if extra.get("takesGrants") else 0.0
-        self.most_memory = {kind: most * size for kind, size in enumerate(extra.get("sizeMb", []))}
+        self.sizes = [float(size) for size in extra.get("sizeMb", [])]
+        self.most_memory = {kind: most * size for kind, size in enumerate(self.sizes)}
         self.bills, self.grants = bool(extra.get("bills")), bool(extra.get("takesGrants"))
         self.priorities = bool(extra.get("takesPriority"))
         widths = extra.get("widthByClass", [])
