--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -2,12 +2,9 @@
 
 A host builds one `Gateway`, hands itself over, and calls one method for each thing that happens: those
 without an underscore. The gateway acts by calling the host back; `interface.py` holds the host protocol,
-the outcome names and the records. Times are whole tenths of a millisecond.
-
-The ordinary path (docs/design.md): a submission joins the queue of its tenant and offering; a lottery by
-share releases it into a bounded slot of an engine, in its table group's hashed order; every 2 s a feedback
-step moves the shares towards equal weighted badness. What follows a comment that starts with "Danger" is
-an exception, and acts only on the symptom named there.
+the outcome names and the records. Times are whole tenths of a millisecond. The ordinary path is in
+docs/design.md; what follows a comment that starts with "Danger" is an exception, and acts only on the
+symptom named there.
 """
 
 from bisect import bisect_right, insort
@@ -31,8 +28,7 @@
 LIGHT = 2.0             # bound for offerings lighter than the others' mean, over that of the heavy
 CROWDED = 1.5           # threads a core that one gateway never passes
 TIERS = 0.25, 1.0, 2.0  # of the usual work, beyond which a draw's priority is one lower each
-STEP = 0.1              # of the bound
-LEAST_TOLD = 0.4        # of a step of the price, for answers to light work
+STEP, LEAST_TOLD = 0.1, 0.4     # of the bound; of a step of the price, for answers to light work
 LEAST_BOUND = 0.25      # how far refusals push the bound below its start
 UNSEEN = 1.5            # latency over the time of the work alone, before any answer tells
 PRESSED = 2.0           # latency this many times its best means pressure
@@ -40,11 +36,10 @@
 HOME = 0.25             # threads a core by which the next in order must be emptier, as its tables are cold
 NEAR = 3                # engines of the hashed order that are looked at first
 EVEN = 1.25             # of an engine's part of the gateway's last work, before the order goes further
-LAST = 8                # samples kept for an engine
+LAST, LAST_ANSWERS = 8, 48      # samples kept for an engine; for an offering
 FEW = 3                 # samples that a figure of them needs
-LAST_ANSWERS = 48       # and for an offering
 SILENT = 3.0            # usual lifetimes, of all hand-offs out together, without a sign
-REST = SECOND           # of an engine that did badly once; doubles with each further time
+REST, ALIKE = SECOND, 10 * SECOND   # of an engine that did badly, doubled each time; that faults compare
 COLD_SAFETY = 0.9       # of its part of the cold budget that a gateway uses
 OWN_EXTRA = 10, 0.5, 5 * SECOND  # budget for further hand-offs where none is stated
 
@@ -71,7 +66,7 @@
         self.queues: dict[tuple[int, Offering], Queue] = {}
         self.lines: dict[int, deque[Submission]] = {}       # by key, in the order taken
         self.rests: dict[int, int] = {}                     # by key: a hand-off may still run until then
-        self.taken, self.extras = deque[int](), deque[int]()    # when, within the budget's span
+        self.honoured, self.extras = list[int](), list[int]()   # when taken, when sent, in the budget's span
         self.best, self.usual_work, self.usual = UNSEEN, 0.0, (-1, UNSEEN)
         self.price = self.least_price = self.most_price = 0.0   # earnings for work that a release must bring
         for offering in offerings:
@@ -85,7 +80,7 @@
         """The list names an engine; a drain or departure holds from this moment."""
         if engine.view is None or started > engine.started:
             engine.view, engine.threads = View(
-                engine.view.spent if engine.view else deque(), deque(maxlen=LAST), deque(maxlen=LAST)), 0
+                engine.view.spent if engine.view else deque(), *(deque(maxlen=LAST) for _ in "sft")), 0
         engine.state, engine.started = state, started
         if engine not in self.engines:
             self.engines.append(engine)
@@ -98,8 +93,7 @@
 
     def submission_taken(self, sub: Submission) -> None:
         """A client's submission; from now on one final answer is owed."""
-        now, offering = self.host.now, sub.offering
-        self.taken.append(now)
+        offering = sub.offering
         if (sub.tenant, offering) not in self.queues:
             self.queues[sub.tenant, offering] = Queue(offering, deque(maxlen=INTERVALS))
             for each in self.queues.values():
@@ -125,8 +119,8 @@
             self._join(sub)
 
     def submission_left(self, sub: Submission) -> None:
-        if not sub.over:    # the client has gone; nothing more is owed
-            self._close(sub, sub.life)
+        if not sub.over:
+            self._close(sub, sub.life)      # the client has gone; nothing more is owed
 
     def expiry_near(self, sub: Submission) -> None:
         if not sub.over:    # the last moment for a final answer
@@ -149,6 +143,8 @@
         self._learn(handoff, took, work, need, inflight)
         if not sub.over:
             if finished or outcome == HONOURED:
+                # Danger: what strangers send that no engine can use must not buy further hand-offs.
+                insort(self.honoured, sub.taken)
                 self._close(sub, took + handoff.sent - sub.taken)
             elif not any(h.out for h in sub.handoffs) and not sub.queued:
                 (self._join if self._may_again(sub) else self._end)(sub)
@@ -181,6 +177,8 @@
     def interval_over(self) -> None:
         """Feedback: shares move a bounded step towards equal weighted badness."""
         self.host.wake(PERIOD, self.interval_over)
+        self._extra_left()      # Danger: what only a need trims grows while there is none
+        self.orders.clear()     # Danger: strangers name table groups without end
         offerings = [queue.offering for queue in self.queues.values()]
         self.usual_work = fmean([offering.usual for offering in offerings] or [0.0])
         worths = [each.worth / each.usual for each in offerings] or [0.0]
@@ -225,8 +223,7 @@
             queue.share /= whole
 
     def _draw(self, queues: list[Queue]) -> Queue:
-        self.drawn += 1
-        tops = [*accumulate(queue.share for queue in queues)]
+        self.drawn, tops = self.drawn + 1, [*accumulate(queue.share for queue in queues)]
         ticket = crc32(pack("<QQ", self.seed, self.drawn)) / 2 ** 32 * tops[-1]
         return queues[min(bisect_right(tops, ticket), len(queues) - 1)]
 
@@ -283,7 +280,7 @@
             near, spare, seen = [], [], 0
             for n, engine in enumerate(order):
                 if (engine not in tried or not fresh) and self._may(sub, engine) and (
-                        not well or self._well(engine)):
+                        not well or self._well(engine.view)):
                     seen += 1
                     if not self._full(engine, sub.offering, usual):
                         # Danger: a gateway that holds one hand-off at a time sees no crowd at a home that all
@@ -301,12 +298,9 @@
         """The rules on where a submission may go."""
         offering = sub.offering
         if (offering.halls and engine.hall not in offering.halls) or (
-                offering.kinds and engine.kind not in offering.kinds):
-            return False
-        first = next((h for h in sub.handoffs if h.outcome not in NEVER_RAN), None)
-        if first is not None and offering.repeat == LABELLED and (
-                (offering.group == "zone" and engine.hall != first.engine.hall) or
-                (offering.group == "cell" and engine.cell != first.engine.cell)):
+                offering.kinds and engine.kind not in offering.kinds) or (offering.repeat == LABELLED and any(
+                    (offering.group == "zone" and engine.hall != h.engine.hall) or
+                    (offering.group == "cell" and engine.cell != h.engine.cell) for h in self._ran(sub))):
             return False
         return not self._cold(engine) or self._cold_room(engine, offering.usual)
 
@@ -321,23 +315,21 @@
         span = (self.host.now - engine.started) // self.fall_span
         turn = ((self.number + span * self.stride) % self.gateways + 0.5) / self.gateways
         # Danger: a gateway that restarts does not know what it sent before.
-        return since >= self.born and (work <= left or work * turn <= left)
+        return since >= self.born and work * turn <= left
 
-    def _well(self, engine: Engine) -> bool:
+    def _well(self, view: View) -> bool:
         """Not at rest; after a rest one hand-off tells, whatever long ones are still out from before."""
-        view = engine.view
         return self.host.now >= view.rests_until and (
             self._trusted(view) or all(h.sent < view.rests_until for h in view.out))
 
     def _full(self, engine: Engine, offering: Offering, usual: float) -> bool:
-        """The bound acts under pressure only: latency well above its best, a full refusal, or a report of a
-        submission a core. An engine that holds nothing of ours takes one."""
+        """The bound acts under pressure only: latency well above its best, or a submission a core told."""
         # Danger: with hundreds of gateways a part is less than one submission, and the busy ones starve.
         slots = engine.view.bound * max(self.slots * engine.cores, offering.threads)
         slots *= LIGHT if offering.usual < self.usual_work else 1
         view, now = engine.view, self.host.now
-        pressed = ((view.load >= engine.cores and now < view.heard + PERIOD) or now < view.refused_until or
-                   self._slow(view, usual) > PRESSED * self.best)
+        pressed = (view.load >= engine.cores and now < view.heard + PERIOD) or (
+            self._slow(view, usual) > PRESSED * self.best)
         # Danger: between two bad samples the bound would not act, and a whole queue goes out at once.
         slots = slots if pressed else max(slots, CROWDED * engine.cores)
         return 0 < engine.threads > slots - offering.threads or now < view.refused_until
@@ -372,12 +364,20 @@
 
     def _fault(self, engine: Engine, why: str) -> None:
         """An engine did badly: it rests, twice as long each time among its last few."""
-        view = engine.view
+        view, now = engine.view, self.host.now
+        if (why, now) not in view.troubles:
+            view.troubles.append((why, now))
+        # Danger: what befalls all alike, as spoilt answers, broken links or what clients send, is no engine's
+        # fault, and rests would leave none. It is its own where most of the others had far less of it lately.
+        own, *had = [sum(w == why and t > now - ALIKE for w, t in each.troubles)
+                     for each in (view, *(e.view for e in self.engines if e.view is not view))]
+        if why in ("error", "reset") and had and (few := sorted(had)[len(had) // 2]) and own <= 2 * few + 2:
+            return
         view.faults.append(why)
         bad = sum(map(bool, view.faults))
-        if self.host.now >= view.rests_until:
+        if now >= view.rests_until:
             rest = REST * 2 ** min(bad - 1, 4)
-            view.rests_until = self.host.now + rest
+            view.rests_until = now + rest
             self.host.wake(rest, self._pump)
             self.host.log(f"rest {engine.name} {why} faults={bad} for={rest}")
 
@@ -428,24 +428,26 @@
 
     def _may_again(self, sub: Submission) -> bool:
         """The rule on effects: may there be another hand-off, whatever the budget says?"""
-        if len(sub.handoffs) >= self.most_handoffs:
+        ran = self._ran(sub)
+        # Danger: what two engines cannot use speaks against the submission; more would spend others' budget.
+        if len(sub.handoffs) >= self.most_handoffs or sum(h.outcome == ERROR for h in ran) > 1:
             return False
-        ran = [h for h in sub.handoffs if h.outcome not in NEVER_RAN]
         return not ran or sub.offering.repeat == REDOABLE or (sub.offering.repeat == LABELLED and (
             self.host.now < ran[0].sent + sub.offering.remembered - self.margin))
 
+    def _ran(self, sub: Submission) -> list[HandOff]:
+        return [h for h in sub.handoffs if h.outcome not in NEVER_RAN]
+
     def _extra_left(self) -> bool:
         """The budget of further hand-offs; where none is stated, one of our own against retry storms."""
         floor, part, span = self.extra
-        since = self.host.now - span
-        for whens in self.taken, self.extras:
-            while whens and whens[0] <= since:
-                whens.popleft()
-        return len(self.extras) + 1 <= floor + part * len(self.taken)
+        for whens in self.honoured, self.extras:
+            del whens[:bisect_right(whens, self.host.now - span)]
+        return len(self.extras) + 1 <= floor + part * len(self.honoured)
 
     def _end(self, sub: Submission) -> None:
         """The gateway gives a submission up: the answer goes at once."""
-        harmless = sub.offering.repeat == REDOABLE or all(h.outcome in NEVER_RAN for h in sub.handoffs) or (
+        harmless = sub.offering.repeat == REDOABLE or not self._ran(sub) or (
             sub.offering.repeat == LABELLED and sub.offering.group == "all")
         # Danger: closing lets the next of its key go, so the answer comes first.
         self.host.dismiss(sub, self.come_back) if harmless else self.host.scrap(sub)
@@ -471,32 +473,31 @@
         while line and line[0].over and not any(h.out for h in line[0].handoffs):
             if any(h.outcome in (TIMED_OUT, RESET, CALLED_OFF) for h in line.popleft().handoffs):
                 self.rests[key] = now + self.settle
-        if line and not (line[0].over or line[0].queued or line[0].handoffs):
-            if self.rests.get(key, now) > now:
-                self.host.wake(self.rests[key] - now, self.turn, key)
-            else:
-                self.rests.pop(key, None)
-                self._join(line[0])
+                self.host.wake(self.settle, self.turn, key)     # Danger: a key that never comes again stays
+        if line and self.rests.get(key, now) <= now and not (
+                line[0].over or line[0].queued or line[0].handoffs):
+            self._join(line[0])
         elif line is not None and not line:
             del self.lines[key]
+        if self.rests.get(key, now + 1) <= now:
+            del self.rests[key]
 
     # Measurements.
 
     def _learn(self, handoff: HandOff, took: int, work: int, need: float, inflight: float) -> None:
         sub, engine, now, outcome = handoff.submission, handoff.engine, self.host.now, handoff.outcome
         view, offering = engine.view, sub.offering
-        if inflight >= 0:
-            view.load = inflight
+        view.load = inflight if inflight >= 0 else view.load
         if handoff.sent < engine.started:
             return      # it speaks of the engine before its restart
         if outcome == HONOURED:
-            view.heard = now
-            if not self._trusted(view):
-                self.host.log(f"back {engine.name} faults={sum(map(bool, view.faults))}")
+            view.heard, doubted = now, not self._trusted(view)
             view.faults.append("")
+            if doubted and self._trusted(view):
+                self.host.log(f"back {engine.name} faults={sum(map(bool, view.faults))}")
             alone = max((work or sub.work) / offering.threads, 1)
-            ratios = work / max(sub.estimate, 1), need / max(sub.memory, 1.0)
-            offering.samples.append((*ratios, work or sub.work))
+            share = work / max(sub.estimate, 1), need / max(sub.memory, 1.0)
+            offering.samples.append((*share, work or sub.work))
             offering.usual = self._usual_work(offering)
             view.slowness.append(max(took, 1) / alone)
             if len(view.slowness) >= FEW:
@@ -505,8 +506,7 @@
             aim = offering.aim + offering.stretch * alone
             return self._step(view, offering, STEP / 4 if took <= aim else -STEP)
         if outcome == FULL:
-            view.heard = now
-            view.refused_until = now + SECOND
+            view.heard, view.refused_until = now, now + SECOND
         elif outcome in (ERROR, UNREACHED, RESET):
             self._fault(engine, ("error", "", "", "", "unreached", "reset")[outcome])
         if outcome in (FULL, TIMED_OUT):
--- a/corkgauge/interface.py
+++ b/corkgauge/interface.py
@@ -64,6 +64,7 @@
     spent: Any                  # when, and usual work sent
     slowness: Any               # time taken over the time of the work alone
     faults: Any                 # one for each outcome; empty: a good answer
+    troubles: Any               # the last few, why and when, also those that are not its own
     heard: int = -1             # when it last gave a sign of its own
     rests_until: int = -1
     refused_until: int = -1
--- a/corkgauge/net/engine_wire.py
+++ b/corkgauge/net/engine_wire.py
@@ -4,6 +4,7 @@
 must never raise on bad bytes, and keeps nothing but a part of an answer.
 """
 
+import re
 from typing import Any
 
 from corkgauge.net.ring import Allowance, Ring
@@ -13,7 +14,8 @@
 
 
 class EngineWire:
-    """Reads answers and calls its owner: `answered(id, word, fields, body)`, which says what is wrong."""
+    """Reads answers and calls its owner: `answered(id, word, fields, body)`, which says what is wrong. What
+    does not parse is the end of the connection, with all that is open there."""
 
     def __init__(self, owner: Any, allowance: Allowance) -> None:
         self.owner, self.whole = owner, 0
@@ -42,6 +44,8 @@
             except UnicodeDecodeError:
                 return "an answer that is not text"
             fields = fields_of(texts[2] if len(texts) > 2 else "-")
+            if fields is None:
+                return "fields that make no sense"
             if wrong := self.owner.answered(texts[0], texts[1], fields, parts[3] if len(parts) > 3 else b""):
                 return wrong
         return ""
@@ -87,12 +91,36 @@
     return at, parts, ""
 
 
-def fields_of(text: str) -> dict[str, str]:
+def fields_of(text: str) -> dict[str, str] | None:
     """
-    >>> fields_of("at=3,l=inflight:7;util:0.61"), fields_of("-")
-    ({'at': '3', 'l': 'inflight:7;util:0.61'}, {})
+    >>> fields_of("at=3,l=inflight:7;util:0.61"), fields_of("-"), fields_of("at=3,chu"), fields_of("a=1,a=1")
+    ({'at': '3', 'l': 'inflight:7;util:0.61'}, {}, None, None)
     """
-    return dict(pair.split("=", 1) for pair in text.split(",") if "=" in pair)
+    if text == "-" or not text:
+        return {}
+    pairs = [pair.partition("=") for pair in text.split(",")]
+    said = {name: value for name, _, value in pairs}
+    return said if len(said) == len(pairs) and all(sign for _, sign, _ in pairs) else None
+
+
+# Rows of three columns, each row ended; no sign below the space stands in them.
+ROWS = re.compile(rb"(?:[^\x00-\x1f\x7f]*+\t[^\x00-\x1f\x7f]*+\t[^\x00-\x1f\x7f]*+\n)*+").fullmatch
+MOST_PAGE = 6_000
+
+
+def page(body: bytes) -> bool:
+    r"""Is it a page as engines write them: whole rows, legal text, not too long?
+
+    >>> page(b"a\tb\tc\n"), page(b""), page(b"a\tb\tc"), page(b"a\tb\n"), page(b"\xff\t\t\n")
+    (True, True, False, False, False)
+    """
+    if len(body) > MOST_PAGE or not ROWS(body):
+        return False
+    try:
+        body.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
 
 
 def command(*parts: str | bytes) -> bytes:
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -20,7 +20,7 @@
 from corkgauge.net.client_wire import ANSWER, FAILED, REFUSED, SERVED, ClientWire, frame_head
 from corkgauge.net.configuration import Faulty, Post, address
 from corkgauge.net.counters import Counters
-from corkgauge.net.engine_wire import EngineWire, command
+from corkgauge.net.engine_wire import MOST_PAGE, EngineWire, command, page
 from corkgauge.net.hub import Hub
 from corkgauge.net.link import Link, dial
 from corkgauge.net.ring import Allowance
@@ -29,9 +29,13 @@
 
 SECOND = 10_000
 MOST_OPEN = 32          # submissions on one client connection
-MOST_RESULT = 200_000   # bytes of one result
-PAGE = 6_000
-MOST_PAGES = 256
+MOST_RESULT = 48_000    # bytes of one result
+MOST_PAGES = 64
+MID_ANSWER = 3_000      # that an engine may take over one answer, once it has begun
+PAGE_TIME = 5_000       # and for the next page of a result
+SIGN, NO_SIGN = 5_000, 5_000    # quiet of a link with hand-offs out until it is asked for a sign; its time
+SPREAD = 6              # links to an engine at most, while that keeps hand-offs apart
+PAST = 500              # ids of hand-offs that a link has done with, remembered against copies
 NEVER = 2 ** 62
 LEAST_PAUSE, MOST_PAUSE = SECOND // 20, SECOND // 2     # between two dials of a feed that does not come up
 FEED_SILENT = 15_000
@@ -54,6 +58,7 @@
 STATES = {"SERVING": READY, "DRAINING": DRAINING, "DELETED": GONE}
 NOTES = {"advance": 1, "disk": 2, "stall": 3}
 ENDS = {"WAIT": FULL, "BROKE": ERROR, "PAST": MOOT}
+WORDS = {"DONE", "MORE", "TELL", "FIT", *ENDS}
 COUNTED = {SERVED: "answered served", REFUSED: "answered refused", FAILED: "answered failed"}
 
 # How far an attempt had come when it failed. "Never ran" takes the first, or the engine's own word.
@@ -69,14 +74,12 @@
     True
     >>> outcome_of(PART_WRITTEN, "broken") == RESET, outcome_of(WRITTEN, "late") == TIMED_OUT
     (True, True)
-    >>> outcome_of(ANSWERED, "broken") == ERROR
+    >>> outcome_of(ANSWERED, "broken") == RESET      # it ran, and what it made is lost with the connection
     True
     """
     if stage == NOT_BEGUN:
         return UNREACHED if why == "unreached" else MOOT
-    if why == "late":
-        return TIMED_OUT
-    return ERROR if stage == ANSWERED else RESET
+    return TIMED_OUT if why == "late" else RESET
 
 
 class Order:
@@ -208,10 +211,10 @@
     def __init__(self, station: "Station", sock: Any) -> None:
         self.station, self.house = station, station.house
         self.open: dict[str, Errand] = {}
-        self.past: dict[str, None] = {}     # given up, an answer may still come
+        self.past: dict[str, None] = {}     # done with, an answer or a copy of one may still come
         self.retired = False
-        self.alive = 0
-        self.link = Link(self.house.hub, sock, EngineWire(self, self.house.lines), self)
+        self.alive, self.asked = 0, NEVER   # signs asked for; when, while none has come
+        self.link = Link(self.house.hub, sock, EngineWire(self, self.house.lines), self, MID_ANSWER)
 
     def room_for(self, order: Order) -> bool:
         # Danger: both hand-offs of a submission carry its id; a late answer to one would pass for the other.
@@ -244,27 +247,25 @@
 
     def answered(self, name: str, word: str, fields: dict[str, str], body: bytes) -> str:
         errand = self.open.get(name)
-        self.house.counters["answers " + word[:8]] += 1
+        self.asked = NEVER
+        if word not in WORDS:
+            return f"an answer {word[:8]!r}"
+        self.house.counters["answers " + word] += 1
         if errand is None:
-            if word == "FIT":
-                return ""
-            if name not in self.past:
-                return f"an answer {word[:8]!r} to an unknown id"
-            return ""
+            # Danger: a copy, a late answer or one to an id of nobody's is no fault of what else is open here.
+            self.house.counters["answers dropped"] += word != "FIT"
+            return "" if word == "FIT" or NAME(name) else "an answer to an id that makes no sense"
         return self.house.answered(errand, word, fields, body)
 
     def forget(self, errand: Errand) -> None:
-        self.open.pop(errand.order.name, None)
+        """Danger: what still comes under its id, a copy or a late answer, must not pass for a later one's."""
+        if self.open.pop(errand.order.name, None) is not None:
+            self.past[errand.order.name] = None
+            if len(self.past) > PAST:
+                del self.past[next(iter(self.past))]
         if self.retired and not self.open:
             self.link.end("no longer needed")
 
-    def give_up(self, errand: Errand) -> None:
-        """Its answer may still come and counts for nothing."""
-        self.past[errand.order.name] = None
-        while len(self.past) > 1000:
-            del self.past[next(iter(self.past))]
-        self.forget(errand)
-
     def drained(self) -> None:
         self.station.fill()
 
@@ -272,10 +273,19 @@
         """Danger: the engine closes what is idle, and a hand-off would meet that. So none is ever idle."""
         if self.link.why:
             return
-        if self.house.now - self.link.heard > self.house.stated.idle_time // 3:
-            self.alive += 1
+        # Danger: a machine that vanished or was cut off says nothing, and its connections stay open. All that
+        # is out there would wait for its expiry.
+        quiet, now = self.house.now - self.link.heard, self.house.now
+        if now >= self.asked + NO_SIGN:
+            return self.link.end("no sign")
+        if quiet > (min(SIGN, self.idle) if self.open else self.idle) and self.asked == NEVER:
+            self.alive, self.asked = self.alive + 1, now
             self.say("alive", f"alive-{self.alive}")
-        self.house.hub.later(self.house.stated.idle_time // 6, self.watch)
+        self.house.hub.later(min(self.idle // 2, SIGN // 2), self.watch)
+
+    @property
+    def idle(self) -> int:
+        return self.house.stated.idle_time // 3
 
     def ended(self, why: str) -> None:
         station = self.station
@@ -301,7 +311,7 @@
         self.house, self.engine, self.address = house, engine, ("", 0)
         self.links: list[EngineLink] = []
         self.waiting: deque[Errand] = deque()
-        self.dialling = False
+        self.dialling, self.spare_from = False, 0
 
     def fill(self) -> None:
         """Write what waits to links that have room; dial where there are none."""
@@ -309,12 +319,16 @@
             return
         while self.waiting:
             order = self.waiting[0].order
-            link = next((each for each in self.links if each.room_for(order)), None)
+            # Danger: what spoils one answer takes all with it that is open on its link. So they keep apart.
+            link = min((each for each in self.links if each.room_for(order)),
+                       key=lambda each: len(each.open), default=None)
             if link is None or not link.take(self.waiting[0]):
                 break
             self.waiting.popleft()
-        if (self.waiting or not self.links) and not self.dialling and (
-                len(self.links) < self.house.links_each()):
+        most = self.house.links_each()
+        spare = len(self.links) < min(most, SPREAD) and all(each.open for each in self.links) and (
+            self.house.now >= self.spare_from)
+        if (self.waiting or spare) and not self.dialling and len(self.links) < most:
             self.dialling = True
             self.house.hub.spawn(self.dial, self.address)
 
@@ -324,6 +338,7 @@
         self.house.counters["dialled"] += 1
         if sock is None:
             self.house.counters["unreached"] += 1
+            self.spare_from = self.house.now + SECOND   # Danger: dials without end where none is taken
             if where == self.address:
                 errands, self.waiting = self.waiting, deque()
                 for errand in errands:
@@ -458,7 +473,7 @@
             errand.station.waiting.remove(errand)
         else:
             errand.link.say("abort", errand.order.name)
-            errand.link.give_up(errand)
+            errand.link.forget(errand)
         del self.errands[handoff]
         self.hub.later(0, self.over, errand, CALLED_OFF if errand.link else MOOT)
 
@@ -597,28 +612,30 @@
             return ""
         errand.load = inflight_of(fields.get("l", ""), errand.load)
         if word == "DONE":
-            pages = amount(fields.get("chunks", "1"))
-            if errand.answered or not pages or pages != int(pages) or not 1 <= pages <= MOST_PAGES:
+            pages, spent, need = (amount(fields.get(name, "0")) for name in ("chunks", "spent", "wanted"))
+            if not pages or pages != int(pages) or pages > MOST_PAGES or spent is None or need is None:
                 return f"a result of {fields.get('chunks')!r} pages"
+            if errand.answered:
+                return "" if [body, int(pages)] == [errand.pages[0], len(errand.pages)] else "two results"
+            # Danger: the request ran, but what came is spoilt: nothing of it may pass for an answer.
+            if not page(body):
+                return "a page that is spoilt"
             errand.answered = True
-            errand.spent = int((amount(fields.get("spent", "0")) or 0) * 10)
-            errand.need = float(amount(fields.get("wanted", "0")) or 0)
+            errand.spent, errand.need = int(spent * 10), need
             errand.pages = [body, *[None] * (int(pages) - 1)]
             if handoff.submission.over or len(errand.pages) == 1:
-                self.whole(errand)
-            else:
-                self.page_line.append(errand)
-                self.ask_pages()
+                return self.whole(errand)
+            self.page_line.append(errand)
+            self.ask_pages()
             return ""
         if word == "MORE":
-            at = amount(fields.get("at", ""))
-            if not errand.answered or at is None or not 0 < at < len(errand.pages) or at != int(at) or (
-                    errand.pages[int(at)] is not None):
-                return f"a page {fields.get('at')!r} out of turn"
-            errand.pages[int(at)] = body
-            if all(page is not None for page in errand.pages):
-                self.whole(errand)
-            return ""
+            at = fields.get("at", "")
+            n = int(at) if at.isdecimal() and len(at) < 4 else 0
+            if not errand.answered or not 0 < n < len(errand.pages) or not page(body) or (
+                    errand.pages[n] not in (None, body)):
+                return f"a page {at[:8]!r} out of turn or spoilt"
+            errand.pages[n] = body
+            return "" if None in errand.pages else self.whole(errand)
         outcome = ENDS.get(word)
         if outcome is None or (errand.answered and word != "BROKE"):
             return f"an answer {word[:8]!r}"
@@ -631,24 +648,34 @@
         while self.page_line:
             errand = self.page_line[0]
             if errand.handoff in self.errands:
-                size = PAGE * len(errand.pages)
+                size = MOST_PAGE * len(errand.pages)
                 if not self.results.take(size):
                     return
                 errand.asked = size
-                for page in range(1, len(errand.pages)):
-                    errand.link.say("more", errand.order.name, str(page))
+                for n in range(1, len(errand.pages)):
+                    errand.link.say("more", errand.order.name, str(n))
+                self.hub.later(PAGE_TIME, self.pages_late, errand, 1)
             self.page_line.popleft()
 
-    def whole(self, errand: Errand) -> None:
+    def pages_late(self, errand: Errand, had: int) -> None:
+        """Danger: a page that never comes would hold its submission until the expiry. Its link is no use."""
+        if errand.handoff in self.errands:
+            have = len(errand.pages) - errand.pages.count(None)
+            if have == had:
+                return errand.link.link.end("pages do not come")
+            self.hub.later(PAGE_TIME, self.pages_late, errand, have)
+
+    def whole(self, errand: Errand) -> str:
         """All pages are here, or nobody wants them."""
         sub = errand.handoff.submission
+        if sum(len(each or b"") for each in errand.pages) > MOST_RESULT:
+            return "a result that is too long"
         errand.link.say("done", errand.order.name)
         errand.link.forget(errand)
-        if sum(len(page or b"") for page in errand.pages) > MOST_RESULT:
-            return self.failed(errand, "too large")
         if not sub.over:
             self.final(sub, SERVED, errand.pages)
         self.done(errand, HONOURED)
+        return ""
 
     def done(self, errand: Errand, outcome: int) -> None:
         self.errands.pop(errand.handoff, None)
@@ -689,7 +716,7 @@
         else:
             # Danger: the engine works on past the time that it was told, and holds it until it hears.
             errand.link.say("done" if errand.answered else "abort", errand.order.name)
-            errand.link.give_up(errand)
+            errand.link.forget(errand)
         self.failed(errand, "late")
 
     # The list of engines.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,6 @@
 from corkgauge.net import configuration, feed_wire
 from corkgauge.net.client_wire import ClientWire
 from corkgauge.net.engine_wire import EngineWire, command
-from corkgauge.net.host import EngineLink
 from corkgauge.net.hub import Hub
 from corkgauge.net.link import dial
 from corkgauge.net.program import Source
@@ -18,7 +17,7 @@
 from corkgauge.net.statement import tables_of
 from tests.yard import SECOND, STATED_ON_SOCKETS, Premises, listing, name, request
 
-PLENTY = 10 ** 7
+PLENTY, ROW = 10 ** 7, "a\t\t\n"
 T1, U1 = name(1), name(99)
 
 
@@ -156,12 +155,12 @@
     assert b"select \xc3\xa9 from s_3.t" in sent
     assert b"sort=quick,patience=29" in sent and b"op=" not in sent
     premises.engine_says(engine, T1, "TELL", "n=advance,amount=0.5", "")
-    premises.engine_says(engine, T1, "DONE", "chunks=3,spent=120,wanted=9", "a\n")
+    premises.engine_says(engine, T1, "DONE", "chunks=3,spent=120,wanted=9", "a\t\t\n")
     assert premises.heard(engine) == command("more", T1, "1") + command("more", T1, "2")
     assert not premises.answers(client)
-    premises.engine_says(engine, T1, "MORE", "at=2", "c\n")
-    premises.engine_says(engine, T1, "MORE", "at=1", "b\n")
-    assert premises.answers(client) == [(4, 1, b"\1", b"a\nb\nc\n")]
+    premises.engine_says(engine, T1, "MORE", "at=2", "c\t\t\n")
+    premises.engine_says(engine, T1, "MORE", "at=1", "b\t\t\n")
+    assert premises.answers(client) == [(4, 1, b"\1", b"a\t\t\nb\t\t\nc\t\t\n")]
     assert premises.heard(engine) == command("done", T1)
     assert not premises.logged and premises.house.results.held == premises.house.statements.held == 0
 
@@ -223,14 +222,14 @@
     owed, once, silent, unread = (premises.client() for _ in range(4))
     served(premises, owed, engine, 1)
     served(premises, once, engine, 2)
-    premises.engine_says(engine, name(2), "DONE", "chunks=1", "a\n")
+    premises.engine_says(engine, name(2), "DONE", "chunks=1", "a\t\t\n")
     premises.pass_time(600)
     unread.sendall(b"x")
     assert house.make_room()
     premises.turn()
     assert len(premises.answers(once)) == 1 and once.recv(9) == silent.recv(9) == b""
     assert len(house.callers) == 2 and not house.make_room()
-    premises.engine_says(engine, name(1), "DONE", "chunks=1", "a\n")
+    premises.engine_says(engine, name(1), "DONE", "chunks=1", "a\t\t\n")
     assert premises.answers(owed)[0][2] == b"\1"
 
 
@@ -287,7 +286,7 @@
     premises.ask(feeds.ends[2][-1], b"HTTP/1.1 200 OK\r\n\r\n")
     feeds.tell(2, 3, id="e2", state="DRAINING")
     assert premises.house.stations["e2"].engine.state == DRAINING
-    premises.engine_says(engine, T1, "DONE", "chunks=1", "a\n")
+    premises.engine_says(engine, T1, "DONE", "chunks=1", "a\t\t\n")
     assert premises.answers(client)[0][2] == b"\1" and feeds.ends[3][0].recv(9) == b""
 
 
@@ -319,9 +318,9 @@
     ([], b"", 0),
     ([(T1, "WAIT", "-", "")], b"", 1), ([(T1, "BROKE", "-", "")], b"\3", 0),
     ([(T1, "PAST", "-", "")], b"", 1),
-    ([(T1, "DONE", "chunks=2", "a\n"), (T1, "BROKE", "-", "")], b"\3", 0),
-    ([(T1, "DONE", "chunks=2", "a\n"), (T1, "MORE", "at=7", "a\n")], b"\3", 0),
-    ([(T1, "DONE", "chunks=9999999", "a\n")], b"\3", 0), ([("zz", "DONE", "-", "a\n")], b"\3", 0),
+    ([(T1, "DONE", "chunks=2", "a\t\t\n"), (T1, "BROKE", "-", "")], b"\3", 0),
+    ([(T1, "DONE", "chunks=2", "a\t\t\n"), (T1, "MORE", "at=7", "a\t\t\n")], b"\3", 0),
+    ([(T1, "DONE", "chunks=9999999", "a\t\t\n")], b"\3", 0), ([("zz", "DONE", "-", "a\t\t\n")], b"\3", 0),
     ([(T1, "WHAT", "-", "a\n")], b"\3", 0),
 ]
 
@@ -343,6 +342,58 @@
     assert premises.heard(other).count(b"fetch") == again
 
 
+DONE, MORE = command(T1, "DONE", "chunks=1", ROW), command(T1, "MORE", "at=1", ROW)
+TWO = command(T1, "DONE", "chunks=2", ROW)
+PEERS = [   # what an engine writes of a first of two open there, after how long, is it served from that
+    (command(name(77), "DONE", "chunks=1", "x\t\t\n") + DONE, 0, True),
+    (DONE + DONE, 0, True), (TWO + TWO + MORE + MORE, 0, True),
+    (command(T1, "TELL", "n=x,amount=y", "") + DONE, 0, True),
+    (TWO + command(T1, "DONE", "chunks=1", ROW), 0, False), (TWO + MORE.replace(b"at=1", b"at=3"), 0, False),
+    (command(T1, "DONE", "chunks=1", "a\tb\n"), 0, False),
+    (command(T1, "DONE", "chunks=1", ROW + "c\t"), 0, False),
+    (command(T1, "DONE", "chunks=1", b"a\t\xff\t\n"), 0, False), (DONE.replace(b"a\t", b"\x01\t"), 0, False),
+    (command(T1, "DONE", "chunks=1", "\t\t" + "x" * 5_998 + "\n"), 0, False),
+    (command(T1, "DONE", "chunks=0", ROW), 0, False), (command(T1, "DONE", "chunks=nan", ROW), 0, False),
+    (command(T1, "DONE", "chunks=1,spe", ROW), 0, False),
+    (command(T1, "DONE", "chunks=1,spent=-4", ROW), 0, False),
+    (command("\x07", "DONE", "chunks=1", ROW), 0, False), (DONE.replace(b"DONE", b"DOME"), 0, False),
+    (b"*4\r\n$16\r\n" + T1.encode() + b"\r\n$4\r\nDONE\r\n$8\r\nchunks=1\r\n$3221225472\r\n" + b"x" * 9, 0,
+     False),
+    (bytes(range(200, 256)), 0, False), (b"*4\r\n$16" + b"1" * 20, 0, False), (b"*-1\r\n", 0, False),
+    (DONE[:-9], 3_500, False), (b"*", 3_500, False), (TWO, 5_500, False), (TWO + MORE[:9], 3_500, False),
+    (b"", 13_000, False),
+]
+
+
+@pytest.mark.parametrize("said, later, good", PEERS)
+def test_what_an_engine_spoils_goes_elsewhere_and_what_it_adds_harms_nothing(said, later, good):
+    premises = Premises([listing(1, {}, {"id": "e2", "state": "DRAINING"})])
+    client, engine = premises.client(), premises.engine()
+    premises.ask(client, request(1) + request(2))
+    assert premises.heard(engine).count(b"fetch") == 2
+    premises.house.event("2", json.dumps(listing(2, {"id": "e2"}, full=False)))
+    other = premises.engine("e2")
+    premises.ask(engine, said)
+    premises.pass_time(later)
+    answers, again = premises.answers(client), premises.heard(other)
+    if good:
+        assert answers[0][:3] == (4, 1, b"\1") and len(premises.house.stations["e1"].links) == 1 and not again
+        premises.engine_says(engine, name(2), "DONE", "chunks=1", ROW)
+        assert premises.answers(client) == [(4, 2, b"\1", ROW.encode())]
+    else:   # found well before its expiry; both have run, and are tried again at once
+        assert not answers and not premises.house.stations["e1"].links and again.count(b"fetch") == 2
+        premises.engine_says(other, T1, "DONE", "chunks=1", ROW)
+        assert premises.answers(client) == [(4, 1, b"\1", ROW.encode())]
+    assert premises.house.results.held == 0
+
+
+def test_hand_offs_keep_apart_so_that_one_bad_answer_spoils_few():
+    premises = Premises()
+    client, engines = premises.client(), [premises.engine(), premises.engine()]
+    premises.ask(client, b"".join(request(n) for n in range(1, 5)))
+    assert [premises.heard(engine).count(b"fetch") for engine in engines] == [2, 2]
+
+
 def test_a_hand_off_that_waits_for_a_link_is_withdrawn_when_its_engine_drains():
     premises = Premises()
     client = premises.client()
@@ -402,10 +453,10 @@
     premises.ask(client, request(2, trace=T1))
     assert not premises.heard(engine)   # the same id: another link
     second = premises.engine()
-    premises.engine_says(engine, T1, "DONE", "chunks=1", "old\n")
+    premises.engine_says(engine, T1, "DONE", "chunks=1", "old\t\t\n")
     assert not premises.answers(client) and b"fetch" in premises.heard(second)
-    premises.engine_says(second, T1, "DONE", "chunks=1", "new\n")
-    assert premises.answers(client) == [(4, 2, b"\1", b"new\n")]
+    premises.engine_says(second, T1, "DONE", "chunks=1", "new\t\t\n")
+    assert premises.answers(client) == [(4, 2, b"\1", b"new\t\t\n")]
 
 
 def test_a_new_engine_at_an_old_address_gets_links_of_its_own():
@@ -427,7 +478,7 @@
     premises.ask(two, request(1, trace=U1, **keyed))
     assert not premises.heard(engine)
     assert [s.life for c in premises.house.callers for s in c.open.values()] == [30_000, 27_500]
-    premises.engine_says(engine, T1, "DONE", "chunks=1", "a\n")
+    premises.engine_says(engine, T1, "DONE", "chunks=1", "a\t\t\n")
     assert U1.encode() in premises.heard(engine)
 
 
@@ -461,8 +512,10 @@
     late = premises.client()
     premises.ask(late, request(1, trace=U1, patience="5000") + bytes.fromhex("050000001002000000"))
     assert [answer[:3] for answer in premises.answers(late)] == [(64, 0, b""), (32, 2, b"\2")]
-    premises.pass_time(2 * SECOND)
-    premises.engine_says(engine, U1, "DONE", "chunks=1", "a\n")
+    for _ in range(4):
+        premises.pass_time(SECOND // 2)
+        premises.engine_says(engine, "alive-1", "FIT", "-", "")
+    premises.engine_says(engine, U1, "DONE", "chunks=1", "a\t\t\n")
     premises.pass_time(2 * SECOND)
     answers = premises.answers(client) + premises.answers(late)
     assert [answer[1:3] for answer in answers] == [(1, b"\2"), (1, b"\1")] and premises.hub.stopped
@@ -476,7 +529,7 @@
     caller.link.machine.outward.most = 5_000
     for n in range(1, 20):
         premises.ask(client, request(n, patience="4000"))
-        premises.engine_says(engine, name(n), "DONE", "chunks=1", "x" * 6_000)
+        premises.engine_says(engine, name(n), "DONE", "chunks=1", "\t\t" + "x" * 5_997 + "\n")
     waiting = sum(len(piece) for entry in caller.waiting for piece in entry[2])
     assert 0 < waiting <= 300_000 and premises.house.results.held == waiting
     client.close()
@@ -487,8 +540,6 @@
 def test_a_silent_link_is_asked_for_a_sign_before_the_engine_would_close_it():
     premises = Premises(limits={"connIdleUs": 3_000_000})
     engine = premises.engine()
-    link: EngineLink = premises.house.stations["e1"].links[0]
-    link.watch()
     premises.pass_time(2 * SECOND)
     assert premises.heard(engine).startswith(command("alive", "alive-1"))
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -283,3 +283,48 @@
     assert yard.take().over and len(yard.said("dismiss")) == 1
     yard.lag = 400
     assert yard.take().handoffs
+
+
+def test_what_befalls_all_engines_alike_lets_none_rest_and_one_that_is_worse_rests_all_the_same():
+    yard = Yard(engines=4)
+    for _ in range(6):
+        for _ in yard.engines:
+            sub = yard.take(tables=float(yard.serial))
+            yard.over(sub.handoffs[0], RESET, finished=True)
+        yard.pass_time(SECOND)
+    yard.pass_time(3 * SECOND)
+    early = len([line for line, _ in yard.said("log") if line.startswith("rest")])
+    for n in range(60):
+        yard.over(yard.take(tables=float(n)).handoffs[0], RESET if n % 4 == 0 else HONOURED, finished=True)
+        yard.pass_time(SECOND // 10)
+    rests = [line for line, _ in yard.said("log") if line.startswith("rest")]
+    assert len(rests) == early <= 4     # Danger: each in turn would rest, though none is worse than others
+    for _ in range(9):      # what an engine that died answers, beside that
+        yard.gateway._fault(yard.engines[0], "unreached")
+        yard.pass_time(1)
+    assert yard.said("log")[-1][0].startswith("rest  unreached")
+
+
+def test_what_two_engines_cannot_use_is_handed_to_no_third():
+    yard = Yard(engines=4)
+    sub = yard.take()
+    yard.over(sub.handoffs[0], ERROR)
+    yard.over(sub.handoffs[1], ERROR)
+    assert sub.over and len(sub.handoffs) == 2 and yard.said("dismiss")
+
+
+def test_nothing_stays_of_what_is_over():
+    yard = Yard([{**QUICK, "ordered": True}], settle=SECOND)
+    subs = []
+    for n in range(3000):
+        subs = [sub for sub in subs if any(h.out for h in sub.handoffs) or not sub.over]
+        subs.append(yard.take(tables=float(n), key=n + 1, life=5000))
+        for handoff in [h for sub in subs for h in sub.handoffs if h.out]:
+            yard.over(handoff, TIMED_OUT if n % 3 else HONOURED)
+        yard.pass_time(100)
+    for handoff in [h for sub in subs for h in sub.handoffs if h.out]:
+        yard.over(handoff, TIMED_OUT, finished=True)
+    yard.pass_time(12 * SECOND)
+    gateway = yard.gateway
+    kept = [gateway.lines, gateway.rests, gateway.orders, gateway.honoured, gateway.extras]
+    assert not any(kept) and len(yard.wakes) < 5    # Danger: keys and table groups are always new
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -138,7 +138,9 @@
     (10, 3.0, 0.1, 4), (1, 0.0, 0.1, 0), (30, 0.0, 0.5, 15)])
 def test_budget(taken, floor, share, most):
     yard = Yard(extra_floor=floor, extra_share=share, extra_span=5 * SECOND)
-    subs = [yard.take() for _ in range(taken)]
+    for _ in range(taken):
+        yard.over(yard.take().handoffs[0])
+    subs = [yard.take() for _ in range(taken)]      # Danger: what was never any use buys nothing
     for sub in subs:
         yard.over(sub.handoffs[0], TIMED_OUT)
     assert sum(len(s.handoffs) - 1 for s in subs) == most
--- a/tests/yard.py
+++ b/tests/yard.py
@@ -147,6 +147,7 @@
         link = EngineLink(station, its)
         station.links.append(link)
         self.hub.spawn(link.link.run)
+        link.watch()
         station.fill()
         self.turn()
         mine.setblocking(False)
