Submissions wait while more lies unread behind them; a late page costs its hand-off only

Line at fault: House.requested handed each on before the next bytes of its connection were read. Ruled out: unusable fields (ended at the door), silent connections (all closed in time).

Now a connection's submissions are told to the module at the end of the turn, or up to 30 ms later while more of it lies unread; a page that does not come in 0.25 s gives up its own hand-off.

--- a/corkgauge/net/configuration.py
+++ b/corkgauge/net/configuration.py
@@ -30,8 +30,8 @@
         limits = part(said, "limits", {})
         self.memory = int(amount(limits, "memory_mb", 192, "limits.") * 2 ** 20)
         self.sockets = int(amount(limits, "sockets", 1024, "limits."))
-        if self.memory < 64 * 2 ** 20:
-            raise Faulty(f"limits.memory_mb: expected 64 or more, found {limits['memory_mb']!r}")
+        if self.memory < 32 * 2 ** 20:
+            raise Faulty(f"limits.memory_mb: expected 32 or more, found {limits['memory_mb']!r}")
         if self.sockets < 32:
             raise Faulty(f"limits.sockets: expected 32 or more, found {limits['sockets']!r}")
         known = part(said, "known", {"n": 0, "events": []})
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -32,7 +32,7 @@
 MOST_RESULT = 48_000    # bytes of one result
 MOST_PAGES = 64
 MID_ANSWER = 3_000      # that an engine may take over one answer, once it has begun
-PAGE_TIME = 5_000       # and for the next page of a result
+PAGE_TIME = 2_500       # and for the next page of a result
 SIGN, NO_SIGN = 5_000, 5_000    # quiet of a link with hand-offs out until it is asked for a sign; its time
 SPREAD = 6              # links to an engine at most, while that keeps hand-offs apart
 PAST = 500              # ids of hand-offs that a link has done with, remembered against copies
@@ -42,6 +42,7 @@
 STUCK = 15_000          # that a client may take over one frame, and before its first is whole
 SETTLED = 500           # that a connection must have been quiet before it gives way to others
 ROOM = 16               # connections that give way at once
+BURST = 300             # that submissions wait at most while more of their connection lies unread
 MOST_FAULTS = 32        # of one client, before its connection ends
 HEAVIEST = 3.6e6        # milliseconds of work that any submission may claim
 # After the signal to end: the longest expiry counts for so much at most; the rest is the page's 0.7 s, less
@@ -50,6 +51,7 @@
 LAST_MOMENT = 500       # before its expiry a client that withdraws is taken to have met it
 # Clients write submissions of one key so far apart, and so long after one that came on a new connection.
 APART, APART_NEW, ARRIVAL = 600, 2_500, 100
+LEAST_ROOM = 4 * 2 ** 20
 OVERHEAD = 3_000        # bytes of memory that a submission takes beside its statement
 PLAIN = re.compile(r"[!-+\-.-<>-~]{1,128}").fullmatch
 NAME = re.compile(r"[0-9a-f]{16}").fullmatch
@@ -122,6 +124,7 @@
         self.open: dict[int, Submission | None] = {}
         self.waiting: deque[tuple[int, int, list[bytes], int]] = deque()    # without room, and until when
         self.faults, self.answered, self.gave_up = 0, 0, 0
+        self.fresh: list[Submission] = []       # the gateway has not been told yet
         self.link = Link(house.hub, sock, ClientWire(self, house.rings), self, STUCK, True)
 
     def requested(self, stream: int, fields: dict[str, str], body: bytes) -> str:
@@ -135,6 +138,7 @@
         sub, house = self.open.get(stream), self.house
         if sub is not None and house.now >= sub.taken + sub.life - LAST_MOMENT:
             # Danger: it is its expiry that has come, a little before ours; an answer is still owed.
+            self.admit(0)
             house.gateway.expiry_near(sub)
         else:
             house.left(self.open.pop(stream, None))
@@ -157,10 +161,28 @@
     def parting(self, why: str) -> None:
         """It is turned out. What it has open is given up, so it is answered now; then comes the reason."""
         self.house.counters["turned out"] += 1
+        for sub in self.fresh:
+            sub.over = True
+            self.house.final(sub, REFUSED, [])
         for sub in [*self.open.values()]:
             self.house.gateway.expiry_near(sub)
         self.answer(0, FAILED, [why.encode()])
 
+    def admit(self, patience: int = BURST) -> None:
+        """Tell the gateway what has come. Danger: of hundreds that come at once, many are taken back by what
+        lies unread behind them, or make no sense; handed off, they would be work for nobody. So while more
+        lies there, all of it has a moment."""
+        if not self.fresh:
+            return
+        now, link = self.house.now, self.link
+        if now < self.fresh[0].taken + patience and not link.why and unread(link.sock):
+            return self.house.hub.later(BURST // 10, self.admit)
+        subs, self.fresh = self.fresh, []
+        for sub in subs:
+            if not sub.over:
+                sub.taken, sub.life = now, max(sub.life - (now - sub.taken), 1)
+                self.house.gateway.submission_taken(sub)
+
     def idle(self) -> bool:
         """Nothing is owed, nothing has come for a while, nothing lies unread."""
         link = self.link
@@ -396,10 +418,11 @@
 class House:
     """The host protocol on sockets."""
 
-    def __init__(self, hub: Hub, post: Post, log: Callable[[str], None]) -> None:
+    def __init__(self, hub: Hub, post: Post, log: Callable[[str], None], held: int = 0) -> None:
         self.hub, self.log, self.counters = hub, log, Counters()
-        room = post.memory // 2
-        # Half of the memory is the program's own; these are the clients' rings, the engines', and so on.
+        # Danger: with little memory the program itself holds most of it. Half of what it had left at its
+        # start may be held for others: the clients' rings, the engines', and so on. The rest is for records.
+        room = max(post.memory - held, LEAST_ROOM) // 2
         self.rings, self.lines, self.results, self.statements = (Allowance(room // 4) for _ in range(4))
         self.links_most = post.sockets // 3     # a third is the clients', a third stays free
         self.end = NEVER        # when the last answer goes, once the program is told to end
@@ -517,7 +540,9 @@
 
     def gone(self) -> None:
         """End as soon as nothing is owed and all is written, or when it must be."""
-        owed = any(each.open or each.waiting or len(each.link.machine.outward) for each in self.callers)
+        # Danger: what has come and lies unread is taken all the same.
+        owed = any(each.open or each.waiting or len(each.link.machine.outward) or unread(each.link.sock)
+                   for each in self.callers if each.link.fd >= 0)
         if owed and self.now < self.end + TO_WRITE // 4:
             self.hub.later(100, self.gone)
         else:
@@ -544,7 +569,8 @@
             return caller.unreadable(stream, f"{wrong}: unusable")
         key, label = int(key, 16), nonce if offering.repeat == LABELLED else ""
         order = Order(caller, stream, name, label, body)
-        if len(caller.open) >= MOST_OPEN or not self.statements.take(order.size):
+        if (len(caller.open) >= MOST_OPEN or len(self.names) >= self.stated.open_cap or
+                not self.statements.take(order.size)):
             self.counters["overfull"] += 1
             caller.faults += len(caller.open) >= MOST_OPEN
             caller.answer(stream, REFUSED, [])
@@ -555,7 +581,9 @@
         sub = Submission(order, offering, tenant or 0, tables_of(body), self.now, life, int(work * 10),
                          float(memory), key)
         caller.open[stream] = self.names[name] = sub
-        self.gateway.submission_taken(sub)
+        caller.fresh.append(sub)
+        if len(caller.fresh) == 1:
+            self.hub.unsent.append(caller.admit)
         return ""
 
     def held_back(self, key: int, new: bool) -> int:
@@ -598,7 +626,10 @@
         if submission is not None:
             self.statements.give(submission.tag.size)
             self.names.pop(submission.tag.name, None)
-            self.gateway.submission_left(submission)
+            if submission in submission.tag.caller.fresh:
+                submission.over = True      # the gateway never hears of it
+            else:
+                self.gateway.submission_left(submission)
             self.ended.append(submission)
 
     # Hand-offs.
@@ -658,12 +689,16 @@
             self.page_line.popleft()
 
     def pages_late(self, errand: Errand, had: int) -> None:
-        """Danger: a page that never comes would hold its submission until the expiry. Its link is no use."""
+        """Danger: a page that never comes would hold its submission until the expiry. What else is open on
+        that link may be well, so only this hand-off is given up."""
         if errand.handoff in self.errands:
             have = len(errand.pages) - errand.pages.count(None)
-            if have == had:
-                return errand.link.link.end("pages do not come")
-            self.hub.later(PAGE_TIME, self.pages_late, errand, have)
+            if have > had:
+                return self.hub.later(PAGE_TIME, self.pages_late, errand, have)
+            self.counters["pages late"] += 1
+            errand.link.say("done", errand.order.name)
+            errand.link.forget(errand)
+            self.failed(errand, "broken")
 
     def whole(self, errand: Errand) -> str:
         """All pages are here, or nobody wants them."""
--- a/corkgauge/net/hub.py
+++ b/corkgauge/net/hub.py
@@ -125,7 +125,9 @@
                 self._guarded(method, what)
             self.tick()
         while self.unsent:
-            self._guarded(self.unsent.pop(), ())
+            unsent, self.unsent = self.unsent, []
+            for method in unsent:
+                self._guarded(method, ())
 
     def worst(self) -> str:
         return f"worst_lag={self.worst_lag} worst_turn={self.worst_turn}"
--- a/corkgauge/net/program.py
+++ b/corkgauge/net/program.py
@@ -93,7 +93,7 @@
                level="INFO", backtrace=False, diagnose=False)
     hub = Hub()
     hub.troubled = Troubles(hub)
-    house = House(hub, post, logger.info)
+    house = House(hub, post, logger.info, memory_held())
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
