--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -18,8 +18,7 @@
                                  REDOABLE, RESET, TIMED_OUT, UNREACHED, Engine, HandOff, Host, Offering,
                                  Queue, Submission, View)
 
-SECOND = 10_000
-MOMENT = SECOND // 50   # that a figure of many samples stands
+SECOND, MOMENT = 10_000, 200    # a figure of many samples stands for a moment
 PERIOD = 2 * SECOND     # of the feedback
 SIGMA = 0.05            # most that a share moves in a period
 INTERVALS = 5           # that the linear model sees
@@ -38,7 +37,7 @@
 EVEN = 1.25             # of an engine's part of the gateway's last work, before the order goes further
 LAST, LAST_ANSWERS = 8, 48      # samples kept for an engine; for an offering
 FEW = 3                 # samples that a figure of them needs
-SILENT = 3.0            # usual lifetimes, of all hand-offs out together, without a sign
+SILENT, OVERDUE = 3.0, 3.0  # usual lifetimes: of all out together without a sign; of one passed by FEW
 REST, ALIKE = SECOND, 10 * SECOND   # of an engine that did badly, doubled each time; that faults compare
 COLD_SAFETY = 0.9       # of its part of the cold budget that a gateway uses
 OWN_EXTRA = 10, 0.5, 5 * SECOND  # budget for further hand-offs where none is stated
@@ -86,7 +85,6 @@
             self.engines.append(engine)
 
     def list_told(self) -> None:
-        """The list has been told in full."""
         self.engines = [e for e in self.engines if e.state == READY]
         self.orders.clear()
         self._pump()
@@ -141,6 +139,12 @@
             engine.view.out.remove(handoff)
             engine.threads -= sub.offering.threads
         self._learn(handoff, took, work, need, inflight)
+        for late in [h for h in engine.view.out if h.sent < handoff.sent] if outcome == HONOURED else ():
+            # Danger: an answer that was lost, or comes after its time, though its engine is well: later ones
+            # came first, and it is long overdue. May cost a copy where an estimate was far too low.
+            late.passed += 1
+            if late.passed >= FEW and self.host.now - late.sent > OVERDUE * self._time_of(late.submission):
+                self._rescue(late)
         if not sub.over:
             if finished or outcome == HONOURED:
                 # Danger: what strangers send that no engine can use must not buy further hand-offs.
@@ -153,12 +157,11 @@
 
     def handoff_progress(self, handoff: HandOff, sort: int, value: float) -> None:
         """A note from the engine on a hand-off that is out."""
-        sub, view, now = handoff.submission, handoff.engine.view, self.host.now
-        view.heard = now
+        sub, now = handoff.submission, self.host.now
+        handoff.engine.view.heard, handoff.passed = now, 0
         if sort != PROGRESS or value <= 0 or sub.over or not handoff.out:
             return
-        # Danger: a bad plan, or an engine far slower than the others, holds its threads for many times the
-        # work. Also covers a crowded engine. May hurt when estimates are far too low: hence the factor.
+        # Danger: a bad plan, or a slow engine, holds threads for many times the work; 3, as estimates err.
         left = (now - handoff.sent) * (1 - value) / value
         if self.cancels and left > 3 * self._time_of(sub):
             self._rescue(handoff)
@@ -188,9 +191,8 @@
         self.price *= 1 - 2 * STEP
         moving = [queue for queue in self.queues.values() if queue.badness]
         for queue in moving:
-            late = sorted(queue.badness)
+            late, queue.badness = sorted(queue.badness), []
             queue.model.append((queue.share, 1 / max(late[int(0.99 * len(late))], 1e-3)))
-            queue.badness = []
         self._equalise(moving)
 
     # Shares and the lottery.
@@ -513,7 +515,6 @@
             self._step(view, offering, -STEP)
 
     def _step(self, view: View, offering: Offering, step: float) -> None:
-        """Let an engine's bound rise or fall, and the price with it, by the work that tells."""
         view.bound = min(2.0, max(LEAST_BOUND, view.bound + step))
         told = min(max(offering.usual / max(self.usual_work, 1.0), LEAST_TOLD), 2.0)
         price = max(self.price, self.least_price) * (1 - step * told)
@@ -532,5 +533,4 @@
         return fmean(works) if len(works) >= FEW else max([2.0 * offering.aim * offering.threads, *works])
 
     def _time_of(self, sub: Submission) -> float:
-        """What a hand-off should take, at the pace that engines keep at present."""
         return sub.work / sub.offering.threads * self._usual_slowness()
--- a/corkgauge/interface.py
+++ b/corkgauge/interface.py
@@ -121,6 +121,7 @@
     out: bool = True
     called_off: bool = False
     outcome: int = -1
+    passed: int = 0             # answers of its engine to later ones, since it last told of this
 
 
 class Host(Protocol):
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -34,6 +34,7 @@
 MID_ANSWER = 3_000      # that an engine may take over one answer, once it has begun
 PAGE_TIME = 2_500       # and for the next page of a result
 SIGN, NO_SIGN = 5_000, 5_000    # quiet of a link with hand-offs out until it is asked for a sign; its time
+UNTOLD = 3              # times that an engine should have told of a hand-off, until that counts as lost
 SPREAD = 6              # links to an engine at most, while that keeps hand-offs apart
 PAST = 500              # ids of hand-offs that a link has done with, remembered against copies
 NEVER = 2 ** 62
@@ -99,12 +100,12 @@
     """A hand-off under way: how far it has come, and its pages."""
 
     __slots__ = ("handoff", "order", "until", "station", "link", "begin", "end", "answered", "pages", "asked",
-                 "spent", "need", "load")
+                 "spent", "need", "load", "told")
 
     def __init__(self, handoff: HandOff, until: int, station: "Station") -> None:
         self.handoff, self.order, self.until, self.station = handoff, handoff.submission.tag, until, station
         self.link: EngineLink | None = None
-        self.begin = self.end = self.spent = self.asked = 0
+        self.begin = self.end = self.spent = self.asked = self.told = 0
         self.need, self.load, self.answered = 0.0, -1.0, False
         self.pages: list[bytes | None] = []
 
@@ -261,6 +262,9 @@
         errand.link, errand.begin, errand.end = self, begin, self.link.put
         self.open[order.name] = errand
         house.counters["handed off"] += 1
+        errand.told = house.now
+        if house.stated.tells:
+            house.hub.later(UNTOLD * house.stated.tells, house.untold, errand, self)
         return True
 
     def say(self, *parts: str) -> None:
@@ -637,6 +641,7 @@
     def answered(self, errand: Errand, word: str, fields: dict[str, str], body: bytes) -> str:
         """An engine's answer; what is wrong with it."""
         handoff = errand.handoff
+        errand.told = self.now
         if word == "TELL":
             sort, value = NOTES.get(fields.get("n", ""), 0), amount(fields.get("amount", "0"))
             self.gateway.handoff_progress(handoff, sort, float(value or 0))
@@ -688,6 +693,18 @@
                 self.hub.later(PAGE_TIME, self.pages_late, errand, 1)
             self.page_line.popleft()
 
+    def untold(self, errand: Errand, link: EngineLink) -> None:
+        """Danger: an answer that never comes, or after its time, holds its submission and its slot until the
+        expiry. An engine tells regularly of all that runs there; what it tells no more of is over."""
+        if errand.handoff in self.errands and errand.link is link and not errand.answered:
+            since = self.now - errand.told
+            if since < UNTOLD * self.stated.tells:
+                return self.hub.later(UNTOLD * self.stated.tells - since, self.untold, errand, link)
+            self.counters["untold"] += 1
+            link.say("abort", errand.order.name)
+            link.forget(errand)
+            self.failed(errand, "broken")
+
     def pages_late(self, errand: Errand, had: int) -> None:
         """Danger: a page that never comes would hold its submission until the expiry. What else is open on
         that link may be well, so only this hand-off is given up."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -305,6 +305,23 @@
     assert yard.said("log")[-1][0].startswith("rest  unreached")
 
 
+def test_one_that_later_ones_passed_long_ago_is_copied_once_and_one_that_is_told_of_is_not():
+    yard = Yard(engines=2, copies=True)
+    for n in range(8):
+        yard.over(yard.take(tables=float(n)).handoffs[0], took=2000)
+    subs = [yard.take(), yard.take()]
+    engine = subs[0].handoffs[0].engine
+    subs = [sub for sub in subs if sub.handoffs[0].engine is engine]
+    for _ in range(60):
+        yard.pass_time(200)
+        yard.gateway.handoff_progress(subs[-1].handoffs[0], 0, 0.0) if len(subs) > 1 else None
+        later = yard.take()
+        yard.over(later.handoffs[0], took=200)
+    # Danger: its engine is well and answers the others, so silence would never show that this one is lost
+    assert [len(sub.handoffs) for sub in subs] == [2] + [1] * (len(subs) - 1) and not subs[0].over
+    assert subs[0].handoffs[1].engine is not engine
+
+
 def test_what_two_engines_cannot_use_is_handed_to_no_third():
     yard = Yard(engines=4)
     sub = yard.take()
