--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -139,12 +139,6 @@
             engine.view.out.remove(handoff)
             engine.threads -= sub.offering.threads
         self._learn(handoff, took, work, need, inflight)
-        for late in [h for h in engine.view.out if h.sent < handoff.sent] if outcome == HONOURED else ():
-            # Danger: an answer that was lost, or comes after its time, though its engine is well: later ones
-            # came first, and it is long overdue. May cost a copy where an estimate was far too low.
-            late.passed += 1
-            if late.passed >= FEW and self.host.now - late.sent > OVERDUE * self._time_of(late.submission):
-                self._rescue(late)
         if not sub.over:
             if finished or outcome == HONOURED:
                 # Danger: what strangers send that no engine can use must not buy further hand-offs.
@@ -152,6 +146,12 @@
                 self._close(sub, took + handoff.sent - sub.taken)
             elif not any(h.out for h in sub.handoffs) and not sub.queued:
                 (self._join if self._may_again(sub) else self._end)(sub)
+        for late in [h for h in engine.view.out if h.sent < handoff.sent] if outcome == HONOURED else ():
+            # Danger: an answer that was lost, or comes after its time, though its engine is well: later ones
+            # came first, and it is long overdue. May cost a copy where an estimate was far too low.
+            late.passed += 1
+            if late.passed >= FEW and self.host.now - late.sent > OVERDUE * self._time_of(late.submission):
+                self._rescue(late)
         self.turn(sub.key)
         self._pump()
 
@@ -421,7 +421,7 @@
     def _rescue(self, handoff: HandOff) -> None:
         """Try a hand-off that does badly elsewhere: called off first, or a second copy."""
         sub = handoff.submission
-        if handoff.called_off or sub.queued or not (self._may_again(sub) and self._extra_left()):
+        if sub.over or handoff.called_off or sub.queued or not (self._may_again(sub) and self._extra_left()):
             return
         if self.cancels:
             self._call_off(handoff)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -320,6 +320,14 @@
     # Danger: its engine is well and answers the others, so silence would never show that this one is lost
     assert [len(sub.handoffs) for sub in subs] == [2] + [1] * (len(subs) - 1) and not subs[0].over
     assert subs[0].handoffs[1].engine is not engine
+    # Danger: neither what its own copy answered nor one whose client left may be handed off again
+    yard.over(subs[0].handoffs[1])
+    gone = yard.take()
+    yard.gateway.submission_left(gone)
+    yard.pass_time(2 * SECOND)
+    for _ in range(9):
+        yard.over(yard.take().handoffs[0], took=200)
+    assert len(subs[0].handoffs) == 2 and len(gone.handoffs) == 1 and not (subs[0].queued or gone.queued)
 
 
 def test_what_two_engines_cannot_use_is_handed_to_no_third():
