--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -561,9 +561,10 @@
         life, work, memory = (amount(fields.get(name) or "0") for name in ("patience", "weight", "est_mb"))
         name, key, nonce = fields.get("trace", ""), fields.get("entity") or "0", fields.get("nonce", "")
         # Danger: an engine closes on what it cannot use, with all that others have open there. A figure that
-        # is named must be one; nobody waits longer than its offering lets it; an id names one submission.
+        # is named must be one; an id names one submission; nobody waits much longer than its offering lets it
+        # (a little longer is no fault: a good client's clock and ours differ, and it adds its own way to us).
         wrong = ("route" if offering is None else "customer" if tenant is None and self.tenants else
-                 "patience" if not life or life * 10 > offering.expiry + 10 else
+                 "patience" if not life or life * 10 > 2 * offering.expiry else
                  "weight" if work is None or work > HEAVIEST or fields.get("weight") and not work else
                  "est_mb" if memory is None or memory > self.most_memory else
                  "entity" if not KEY(key) else "trace" if not NAME(name) or name in self.names else
