--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -34,7 +34,7 @@
 MID_ANSWER = 3_000      # that an engine may take over one answer, once it has begun
 PAGE_TIME = 2_500       # and for the next page of a result
 SIGN, NO_SIGN = 5_000, 5_000    # quiet of a link with hand-offs out until it is asked for a sign; its time
-UNTOLD = 3              # times that an engine should have told of a hand-off, until that counts as lost
+UNTOLD = 2.25           # times that an engine should have told of a hand-off, until that counts as lost
 SPREAD = 6              # links to an engine at most, while that keeps hand-offs apart
 PAST = 500              # ids of hand-offs that a link has done with, remembered against copies
 NEVER = 2 ** 62
@@ -263,8 +263,8 @@
         self.open[order.name] = errand
         house.counters["handed off"] += 1
         errand.told = house.now
-        if house.stated.tells:
-            house.hub.later(UNTOLD * house.stated.tells, house.untold, errand, self)
+        if house.patience:
+            house.hub.later(house.patience, house.untold, errand, self)
         return True
 
     def say(self, *parts: str) -> None:
@@ -441,6 +441,7 @@
         self.stated = stated_of(post, self)
         self.gateway = self.stated.gateway
         self.most_memory = max(self.stated.sizes, default=1e6)
+        self.patience = int(UNTOLD * self.stated.tells)
         self.offerings = {each.name: each for each in self.stated.offerings}
         self.tenants = {name: n for n, name in enumerate(self.stated.tenants)}
         self.last_event = post.known
@@ -699,8 +700,8 @@
         expiry. An engine tells regularly of all that runs there; what it tells no more of is over."""
         if errand.handoff in self.errands and errand.link is link and not errand.answered:
             since = self.now - errand.told
-            if since < UNTOLD * self.stated.tells:
-                return self.hub.later(UNTOLD * self.stated.tells - since, self.untold, errand, link)
+            if since < self.patience:
+                return self.hub.later(self.patience - since, self.untold, errand, link)
             self.counters["untold"] += 1
             link.say("abort", errand.order.name)
             link.forget(errand)
