--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -39,7 +39,7 @@
 FEW = 3                 # samples that a figure of them needs
 SILENT, OVERDUE = 3.0, 3.0  # usual lifetimes: of all out together without a sign; of one passed by FEW
 REST, ALIKE = SECOND, 10 * SECOND   # of an engine that did badly, doubled each time; that faults compare
-COLD_SAFETY = 0.9       # of its part of the cold budget that a gateway uses
+COLD_SAFETY, HEDGE = 0.9, 0.5   # of its part of the cold budget that a gateway uses; of that for further ones
 OWN_EXTRA = 10, 0.5, 5 * SECOND  # budget for further hand-offs where none is stated
 
 
@@ -151,7 +151,7 @@
             # came first, and it is long overdue. May cost a copy where an estimate was far too low.
             late.passed += 1
             if late.passed >= FEW and self.host.now - late.sent > OVERDUE * self._time_of(late.submission):
-                self._rescue(late)
+                self.overdue(late)
         self.turn(sub.key)
         self._pump()
 
@@ -164,7 +164,7 @@
         # Danger: a bad plan, or a slow engine, holds threads for many times the work; 3, as estimates err.
         left = (now - handoff.sent) * (1 - value) / value
         if self.cancels and left > 3 * self._time_of(sub):
-            self._rescue(handoff)
+            self.overdue(handoff, 1.0)
 
     def patience_over(self, handoff: HandOff) -> None:
         view, now, usual = handoff.engine.view, self.host.now, self._usual_slowness()
@@ -173,7 +173,7 @@
         if handoff.out and not handoff.submission.over and view.heard < handoff.sent:
             if sum((now - max(h.sent, view.heard)) / max(h.due, h.usual) for h in view.out) > SILENT * usual:
                 self._fault(handoff.engine, "silent")
-                self._rescue(handoff)
+                self.overdue(handoff, 1.0)
             else:
                 self.host.wake(max((now - handoff.sent) // 2, 1), self.patience_over, handoff)
 
@@ -418,15 +418,15 @@
         known = sub.memory and len(ratios) >= FEW
         return min(sub.memory * ratios[int(0.85 * len(ratios))], engine.most_memory) if known else 0.0
 
-    def _rescue(self, handoff: HandOff) -> None:
-        """Try a hand-off that does badly elsewhere: called off first, or a second copy."""
-        sub = handoff.submission
-        if sub.over or handoff.called_off or sub.queued or not (self._may_again(sub) and self._extra_left()):
-            return
-        if self.cancels:
-            self._call_off(handoff)
-        elif self.copies and sum(h.out for h in sub.handoffs) < 2:
-            self._join(sub)
+    def overdue(self, handoff: HandOff, share: float = HEDGE) -> None:
+        """Try one that does badly, or is told no more of, elsewhere: called off first, or a second copy."""
+        sub = handoff.submission    # Danger: copies on suspicion must leave budget for what is lost for sure
+        if not (sub.over or handoff.called_off or sub.queued) and (
+                self._may_again(sub) and self._extra_left(share)):
+            if self.cancels:
+                self._call_off(handoff)
+            elif self.copies and sum(h.out for h in sub.handoffs) < 2:
+                self._join(sub)
 
     def _may_again(self, sub: Submission) -> bool:
         """The rule on effects: may there be another hand-off, whatever the budget says?"""
@@ -440,12 +440,12 @@
     def _ran(self, sub: Submission) -> list[HandOff]:
         return [h for h in sub.handoffs if h.outcome not in NEVER_RAN]
 
-    def _extra_left(self) -> bool:
+    def _extra_left(self, share: float = 1.0) -> bool:
         """The budget of further hand-offs; where none is stated, one of our own against retry storms."""
         floor, part, span = self.extra
         for whens in self.honoured, self.extras:
             del whens[:bisect_right(whens, self.host.now - span)]
-        return len(self.extras) + 1 <= floor + part * len(self.honoured)
+        return len(self.extras) + 1 <= share * (floor + part * len(self.honoured))
 
     def _end(self, sub: Submission) -> None:
         """The gateway gives a submission up: the answer goes at once."""
--- /dev/null
+++ b/corkgauge/net/clients.py
@@ -0,0 +1,153 @@
+"""The clients' side: one connection each, what it has open, and what is said to it.
+
+Owns the answers that wait for room, the time and the faults that a client is allowed, and how it is turned
+out. Must never hand anything on while more bytes of the same connection may at once take it back, and never
+close one that is owed an answer without giving it.
+"""
+
+import sys
+from collections import deque
+from fcntl import ioctl
+from termios import FIONREAD
+from typing import Any
+
+from corkgauge.interface import Submission
+from corkgauge.net import client_wire
+from corkgauge.net.client_wire import ANSWER, FAILED, REFUSED, SERVED, ClientWire, frame_head
+from corkgauge.net.link import NEVER, Link
+
+MOST_OPEN = 32          # submissions on one client connection
+STUCK = 15_000          # that a client may take over one frame, and before its first is whole
+SETTLED = 500           # that a connection must have been quiet before it gives way to others
+BURST = 300             # that submissions wait at most while more of their connection lies unread
+MOST_FAULTS = 32        # of one client, before its connection ends
+LAST_MOMENT = 500       # before its expiry a client that withdraws is taken to have met it
+OVERHEAD = 3_000        # bytes of memory that a submission takes beside its statement
+COUNTED = {SERVED: "answered served", REFUSED: "answered refused", FAILED: "answered failed"}
+
+
+class Order:
+    """A submission's side towards its client: where the answer goes, and what goes on unchanged."""
+
+    __slots__ = "caller", "stream", "name", "label", "statement", "size", "memory", "priority"
+
+    def __init__(self, caller: "Caller", stream: int, name: str, label: str, statement: bytes) -> None:
+        self.caller, self.stream, self.name, self.label = caller, stream, name, label
+        self.statement, self.size = statement, len(statement) + OVERHEAD
+        self.memory, self.priority = 0.0, 1
+
+
+class Caller:
+    """One client connection."""
+
+    def __init__(self, house: Any, sock: Any) -> None:
+        self.house = house
+        self.open: dict[int, Submission | None] = {}
+        self.waiting: deque[tuple[int, int, list[bytes], int]] = deque()    # without room, and until when
+        self.faults, self.answered, self.gave_up = 0, 0, 0
+        self.fresh: list[Submission] = []       # the gateway has not been told yet
+        self.link = Link(house.hub, sock, ClientWire(self, house.rings), self, STUCK, True)
+
+    def requested(self, stream: int, fields: dict[str, str], body: bytes) -> str:
+        if len(self.waiting) > 2 * MOST_OPEN:   # Danger: answers for one that does not read fill the memory
+            return "answers are not read"
+        return self.house.requested(self, stream, fields, body)
+
+    def withdrawn(self, stream: int) -> str:
+        self.house.counters["withdrawn"] += 1
+        self.gave_up += 1
+        sub, house = self.open.get(stream), self.house
+        if sub is not None and house.now >= sub.taken + sub.life - LAST_MOMENT:
+            # Danger: it is its expiry that has come, a little before ours; an answer is still owed.
+            self.admit(0)
+            house.gateway.expiry_near(sub)
+        else:
+            house.left(self.open.pop(stream, None))
+        # Danger: what is asked for by hundreds and taken back at once is work for nobody.
+        return "withdrawn too often" if self.gave_up > max(MOST_FAULTS, 2 * self.answered) else ""
+
+    def ready_asked(self, stream: int) -> str:
+        self.house.counters["asked ready"] += 1
+        code = 1 if self.house.end == NEVER else 2
+        sent = self.link.send(frame_head(client_wire.READY, stream, code, 0))
+        return "" if sent else "answers are not read"
+
+    def unreadable(self, stream: int, why: str) -> str:
+        """Nobody can use it: told on its stream. Danger: one that sends nothing else costs all the others."""
+        self.house.counters["unreadable"] += 1
+        self.faults += 1
+        self.answer(stream, FAILED, [why.encode()])
+        return "" if self.faults <= MOST_FAULTS else "too much that cannot be used"
+
+    def parting(self, why: str) -> None:
+        """It is turned out. What it has open is given up, so it is answered now; then comes the reason."""
+        self.house.counters["turned out"] += 1
+        for sub in self.fresh:
+            sub.over = True
+            self.house.final(sub, REFUSED, [])
+        for sub in [*self.open.values()]:
+            self.house.gateway.expiry_near(sub)
+        self.answer(0, FAILED, [why.encode()])
+
+    def admit(self, patience: int = BURST) -> None:
+        """Tell the gateway what has come. Danger: of hundreds that come at once, many are taken back by what
+        lies unread behind them, or make no sense; handed off, they would be work for nobody. So while more
+        lies there, all of it has a moment."""
+        if not self.fresh:
+            return
+        now, link = self.house.now, self.link
+        if now < self.fresh[0].taken + patience and not link.why and unread(link.sock):
+            return self.house.hub.later(BURST // 10, self.admit)
+        subs, self.fresh = self.fresh, []
+        for sub in subs:
+            if not sub.over:
+                sub.taken, sub.life = now, max(sub.life - (now - sub.taken), 1)
+                self.house.gateway.submission_taken(sub)
+
+    def idle(self) -> bool:
+        """Nothing is owed, nothing has come for a while, nothing lies unread."""
+        link = self.link
+        if self.open or self.waiting or self.house.now < link.heard + SETTLED:
+            return False
+        return link.parting or not (link.why or len(link.machine.outward) or unread(link.sock))
+
+    def answer(self, stream: int, code: int, body: list[bytes], until: int = NEVER) -> None:
+        house = self.house
+        house.counters[COUNTED[code]] += 1
+        self.answered += 1
+        if self.link.why or (not self.waiting and self._put(stream, code, body)):
+            return
+        # Danger: clients that do not read would fill the memory with results; they get a short answer.
+        if not house.results.take(sum(map(len, body))):
+            house.counters["results dropped"] += 1
+            code, body = FAILED, []
+        self.waiting.append((stream, code, body, until))
+
+    def _put(self, stream: int, code: int, body: list[bytes]) -> bool:
+        return self.link.send(frame_head(ANSWER, stream, code, sum(map(len, body))), *body)
+
+    def drained(self) -> None:
+        """Room again. Danger: what waited past its expiry must not leave as served."""
+        while self.waiting:
+            stream, code, body, until = self.waiting[0]
+            late = self.house.now >= until
+            if not self._put(stream, FAILED if late else code, [] if late else body):
+                return
+            self._drop()
+
+    def _drop(self) -> None:
+        self.house.results.give(sum(map(len, self.waiting.popleft()[2])))
+
+    def ended(self, why: str) -> None:
+        self.house.counters["connections ended"] += 1
+        self.house.callers.pop(self, None)
+        while self.waiting:
+            self._drop()
+        for sub in [*self.open.values()]:
+            self.house.left(sub)
+        self.open.clear()
+
+
+def unread(sock: Any) -> int:
+    """Bytes that have come and were not read."""
+    return int.from_bytes(ioctl(sock.fileno(), FIONREAD, b"\0" * 4), sys.byteorder)
--- /dev/null
+++ b/corkgauge/net/engines.py
@@ -0,0 +1,245 @@
+"""The engines' side: hand-offs under way, the links that carry them, and the engines that links lead to.
+
+Owns the links' life, which hand-off goes on which, how far each had come when it failed, and what still comes
+under the id of one that is over. Must never decide where a submission goes, and never take what is spoilt, a
+copy or a late answer for an answer.
+"""
+
+import re
+from collections import deque
+from typing import Any
+
+from corkgauge.interface import ERROR, FULL, MOOT, READY, RESET, TIMED_OUT, UNREACHED, Engine, HandOff
+from corkgauge.net.clients import Order
+from corkgauge.net.engine_wire import EngineWire, command
+from corkgauge.net.hub import SECOND
+from corkgauge.net.link import NEVER, Link, dial
+
+MID_ANSWER = 3_000      # that an engine may take over one answer, once it has begun
+# Quiet of a link with hand-offs out until it is asked for a sign, then until they are overdue, then its end.
+SIGN, NO_SIGN, MUTE = 5_000, 5_000, 15_000
+SPREAD = 6              # links to an engine at most, while that keeps hand-offs apart
+PAST = 500              # ids of hand-offs that a link has done with, remembered against copies
+NAME = re.compile(r"[0-9a-f]{16}").fullmatch
+ENDS = {"WAIT": FULL, "BROKE": ERROR, "PAST": MOOT}
+WORDS = {"DONE", "MORE", "TELL", "FIT", *ENDS}
+
+# How far an attempt had come when it failed. "Never ran" takes the first, or the engine's own word.
+NOT_BEGUN, PART_WRITTEN, WRITTEN, ANSWERED = range(4)
+
+
+def outcome_of(stage: int, why: str) -> int:
+    """The outcome of a hand-off that failed for its connection: unreached, broken, late or withdrawn.
+
+    >>> outcome_of(NOT_BEGUN, "unreached") == UNREACHED, outcome_of(NOT_BEGUN, "withdrawn") == MOOT
+    (True, True)
+    >>> outcome_of(NOT_BEGUN, "late") == MOOT    # its own time was too short: no fault of the engine's
+    True
+    >>> outcome_of(PART_WRITTEN, "broken") == RESET, outcome_of(WRITTEN, "late") == TIMED_OUT
+    (True, True)
+    >>> outcome_of(ANSWERED, "broken") == RESET      # it ran, and what it made is lost with the connection
+    True
+    """
+    if stage == NOT_BEGUN:
+        return UNREACHED if why == "unreached" else MOOT
+    return TIMED_OUT if why == "late" else RESET
+
+
+class Errand:
+    """A hand-off under way: how far it has come, and its pages."""
+
+    __slots__ = ("handoff", "order", "until", "station", "link", "begin", "end", "answered", "pages", "asked",
+                 "spent", "need", "load", "told")
+
+    def __init__(self, handoff: HandOff, until: int, station: "Station") -> None:
+        self.handoff, self.order, self.until, self.station = handoff, handoff.submission.tag, until, station
+        self.link: EngineLink | None = None
+        self.begin = self.end = self.spent = self.asked = self.told = 0
+        self.need, self.load, self.answered = 0.0, -1.0, False
+        self.pages: list[bytes | None] = []
+
+    def stage(self) -> int:
+        if self.answered:
+            return ANSWERED
+        if self.link is None or self.link.link.sent <= self.begin:
+            return NOT_BEGUN
+        return WRITTEN if self.link.link.sent >= self.end else PART_WRITTEN
+
+
+class EngineLink:
+    """One connection to an engine."""
+
+    def __init__(self, station: "Station", sock: Any) -> None:
+        self.station, self.house = station, station.house
+        self.open: dict[str, Errand] = {}
+        self.past: dict[str, None] = {}     # done with, an answer or a copy of one may still come
+        self.retired = self.mute = False
+        self.alive, self.asked = 0, NEVER   # signs asked for; when, while none has come
+        self.link = Link(self.house.hub, sock, EngineWire(self, self.house.lines), self, MID_ANSWER)
+
+    def room_for(self, order: Order) -> bool:
+        # Danger: both hand-offs of a submission carry its id; a late answer to one would pass for the other.
+        return not (self.retired or self.mute or self.link.why or self.link.blocked or
+                    len(self.open) >= self.house.stated.streams or
+                    order.name in self.open or order.name in self.past)
+
+    def take(self, errand: Errand) -> bool:
+        """Write a hand-off, unless there is no room."""
+        house, order, handoff = self.house, errand.order, errand.handoff
+        sub, stated = handoff.submission, house.stated
+        fields = [f"sort={sub.offering.name}", f"patience={max((errand.until - house.now) // 10, 1)}"]
+        if order.label:
+            fields.append(f"op={order.label}")
+        if stated.grants and order.memory >= 1:
+            fields.append(f"reserve={int(order.memory)}")
+        if stated.priorities:
+            fields.append(f"level={order.priority}")
+        begin = self.link.put
+        if not self.link.send(command("fetch", order.name, ",".join(fields), order.statement)):
+            return False
+        errand.link, errand.begin, errand.end = self, begin, self.link.put
+        self.open[order.name] = errand
+        house.counters["handed off"] += 1
+        errand.told = house.now
+        if house.patience:
+            house.hub.later(house.patience, house.untold, errand, self)
+        return True
+
+    def say(self, *parts: str) -> None:
+        if not self.link.send(command(*parts)):
+            self.link.end("no room for a command")
+
+    def answered(self, name: str, word: str, fields: dict[str, str], body: bytes) -> str:
+        errand = self.open.get(name)
+        self.asked, self.mute = NEVER, False
+        if word not in WORDS:
+            return f"an answer {word[:8]!r}"
+        self.house.counters["answers " + word] += 1
+        if errand is None:
+            # Danger: a copy, a late answer or one to an id of nobody's is no fault of what else is open here.
+            self.house.counters["answers dropped"] += word != "FIT"
+            return "" if word == "FIT" or NAME(name) else "an answer to an id that makes no sense"
+        return self.house.answered(errand, word, fields, body)
+
+    def forget(self, errand: Errand) -> None:
+        """Danger: what still comes under its id, a copy or a late answer, must not pass for a later one's."""
+        if self.open.pop(errand.order.name, None) is not None:
+            self.past[errand.order.name] = None
+            if len(self.past) > PAST:
+                del self.past[next(iter(self.past))]
+        if self.retired and not self.open:
+            self.link.end("no longer needed")
+
+    def drained(self) -> None:
+        self.station.fill()
+
+    def watch(self) -> None:
+        """Danger: the engine closes what is idle, and a hand-off would meet that. So none is ever idle."""
+        if self.link.why:
+            return
+        # Danger: a machine that vanished or was cut off says nothing, and its connections stay open. All that
+        # is out there would wait for its expiry. But one that only stands still for a while goes on with it.
+        quiet, now = self.house.now - self.link.heard, self.house.now
+        if now >= self.asked + MUTE:
+            return self.link.end("no sign")
+        if now >= self.asked + NO_SIGN and not self.mute:
+            self.mute = True
+            for errand in [*self.open.values()]:
+                self.house.gateway.overdue(errand.handoff)
+            self.station.fill()
+        if quiet > (min(SIGN, self.idle) if self.open else self.idle) and self.asked == NEVER:
+            self.alive, self.asked = self.alive + 1, now
+            self.say("alive", f"alive-{self.alive}")
+        self.house.hub.later(min(self.idle // 2, SIGN // 2), self.watch)
+
+    @property
+    def idle(self) -> int:
+        return self.house.stated.idle_time // 3
+
+    def ended(self, why: str) -> None:
+        station = self.station
+        station.links.remove(self)
+        errands, self.open = [*self.open.values()], {}
+        if errands:
+            self.house.log(f"link {station.engine.tag} ended: {why}; {len(errands)} out")
+        for errand in errands:
+            if errand.stage() == NOT_BEGUN and station.engine.state == READY:
+                errand.link = None
+                station.waiting.append(errand)
+                self.house.hub.later(self.house.stated.dial_time, self.house.waited, errand)
+            else:
+                self.house.failed(errand, "broken")
+        self.house.close(station)
+        station.fill()
+
+
+class Station:
+    """An engine, its address, its links, and the hand-offs that wait for one."""
+
+    def __init__(self, house: Any, engine: Engine) -> None:
+        self.house, self.engine, self.address = house, engine, ("", 0)
+        self.links: list[EngineLink] = []
+        self.waiting: deque[Errand] = deque()
+        self.dialling, self.spare_from = False, 0
+
+    def fill(self) -> None:
+        """Write what waits to links that have room; dial where there are none."""
+        if self.engine.state != READY:
+            return
+        while self.waiting:
+            order = self.waiting[0].order
+            # Danger: what spoils one answer takes all with it that is open on its link. So they keep apart.
+            link = min((each for each in self.links if each.room_for(order)),
+                       key=lambda each: len(each.open), default=None)
+            if link is None or not link.take(self.waiting[0]):
+                break
+            self.waiting.popleft()
+        most = self.house.links_each()
+        spare = len(self.links) < min(most, SPREAD) and all(each.open for each in self.links) and (
+            self.house.now >= self.spare_from)
+        if (self.waiting or spare) and not self.dialling and len(self.links) < most:
+            self.dialling = True
+            self.house.hub.spawn(self.dial, self.address)
+
+    def dial(self, where: tuple[str, int]) -> None:
+        sock, why = dial(self.house.hub, where, self.house.stated.dial_time)
+        self.dialling = False
+        self.house.counters["dialled"] += 1
+        if sock is None:
+            self.house.counters["unreached"] += 1
+            self.spare_from = self.house.now + SECOND   # Danger: dials without end where none is taken
+            if where == self.address:
+                errands, self.waiting = self.waiting, deque()
+                for errand in errands:
+                    self.house.failed(errand, "unreached")
+            return
+        if where != self.address or self.engine.state != READY:
+            sock.close()
+        else:
+            link = EngineLink(self, sock)
+            self.links.append(link)
+            self.house.hub.spawn(link.link.run)
+            link.watch()
+        self.fill()
+
+    def told(self, where: tuple[str, int], renewed: bool) -> None:
+        """The list names it: a link to what it was before is for nothing new."""
+        if where != self.address or renewed:
+            self.address = where
+            self.retire()
+
+    def retire(self) -> None:
+        for link in self.links:
+            link.retired = True
+            if not link.open:
+                link.link.end("no longer needed")
+
+    def withdraw(self) -> None:
+        """It drains or is gone. Danger: a hand-off that waits for room would begin after that."""
+        self.retire()
+        errands, self.waiting = self.waiting, deque()
+        for errand in errands:
+            self.house.failed(errand, "withdrawn")
+        for link in self.links:     # nor may what a socket that takes no more has kept back
+            if any(errand.stage() == NOT_BEGUN for errand in link.open.values()):
+                link.link.end("unsent at a drain")
--- /dev/null
+++ b/corkgauge/net/feed.py
@@ -0,0 +1,75 @@
+"""The control feed's side: kept connected, asked again from the last whole event.
+
+Owns the connection to one address, until that is left for another. Must never read an event: the house does.
+"""
+
+from typing import Any
+
+from corkgauge.net import feed_wire
+from corkgauge.net.hub import SECOND
+from corkgauge.net.link import Link, dial
+
+LEAST_PAUSE, MOST_PAUSE = SECOND // 20, SECOND // 2     # between two dials of a feed that does not come up
+FEED_SILENT = 15_000    # a comment comes each second
+
+
+class Feed:
+    """Keeps the control feed at one address connected, until it is left for another."""
+
+    def __init__(self, house: Any, where: tuple[str, int]) -> None:
+        self.house, self.where, self.link = house, where, None
+        self.pause, self.lost, self.left = 0, False, False
+
+    def run(self) -> None:
+        hub = self.house.hub
+        while not (hub.stopped or self.left):
+            begun = hub.now
+            sock, why = dial(hub, self.where, SECOND)
+            if self.left:
+                if sock is not None:
+                    sock.close()
+                return
+            if sock is not None:
+                machine = feed_wire.FeedWire(self, self.house.lines)
+                self.link = Link(hub, sock, machine, self)
+                self.link.send(feed_wire.request("%s:%d" % self.where, self.house.last_event))
+                self.watch(self.link)
+                self.link.run()
+                why = self.link.why
+            if not (self.lost or self.left):
+                self.lost = True
+                self.house.log(f"feed lost: {why}")
+            # Danger: what it tells holds soon after a break, heard or not. So the first try is at once, and
+            # only those that end at once again wait, each longer.
+            if hub.now - begun > SECOND:
+                self.pause = 0
+            if self.pause and not self.left:
+                hub.sleep(self.pause)
+            self.pause = min(max(2 * self.pause, LEAST_PAUSE), MOST_PAUSE)
+
+    def leave(self) -> None:
+        """Another address holds from now on."""
+        self.left = True
+        if self.link is not None:
+            self.link.end("left for another")
+
+    def event(self, number: str, data: str) -> str:
+        self.pause = 0
+        if self.lost:
+            self.lost = False
+            self.house.log(f"feed back at {self.house.last_event}")
+        return self.house.event(number, data)
+
+    def watch(self, link: Link) -> None:
+        """Danger: a feed that stops keeps its connection open. A comment comes each second; without any sign
+        for half a second more it is dead."""
+        if link is self.link and not link.why:
+            if self.house.now - link.heard > FEED_SILENT:
+                return link.end("silent")
+            self.house.hub.later(FEED_SILENT // 8, self.watch, link)
+
+    def drained(self) -> None:
+        pass
+
+    def ended(self, why: str) -> None:
+        pass
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -1,405 +1,48 @@
 """The gateway's host on sockets.
 
-Owns the open submissions, the hand-offs under way with their pages, the engines' links and the clients'
-connections, and the ids of all of them. Must never decide: it tells the gateway what happened and does what
-that says. Must never call the gateway from within one of the gateway's own calls.
+Owns the open submissions, the hand-offs under way with their pages, the lists of engines and of clients, and
+the ids of all of them. Must never decide: it tells the gateway what happened and does what that says. Must
+never call the gateway from within one of the gateway's own calls.
 """
 
 import json
 import re
-import sys
 from collections import deque
 from collections.abc import Callable
-from fcntl import ioctl
-from termios import FIONREAD
 from typing import Any
 
-from corkgauge.interface import (CALLED_OFF, DRAINING, ERROR, FULL, GONE, HONOURED, LABELLED, MOOT, READY,
-                                 RESET, TIMED_OUT, UNREACHED, Engine, HandOff, Submission)
-from corkgauge.net import client_wire, feed_wire
-from corkgauge.net.client_wire import ANSWER, FAILED, REFUSED, SERVED, ClientWire, frame_head
+from corkgauge.interface import (CALLED_OFF, DRAINING, GONE, HONOURED, LABELLED, MOOT, READY, Engine, HandOff,
+                                 Submission)
+from corkgauge.net import client_wire
+from corkgauge.net.client_wire import FAILED, REFUSED, SERVED
+from corkgauge.net.clients import MOST_FAULTS, MOST_OPEN, Caller, Order, unread
 from corkgauge.net.configuration import Faulty, Post, address
 from corkgauge.net.counters import Counters
-from corkgauge.net.engine_wire import MOST_PAGE, EngineWire, command, page
-from corkgauge.net.hub import Hub
-from corkgauge.net.link import Link, dial
+from corkgauge.net.engine_wire import MOST_PAGE, page
+from corkgauge.net.engines import ENDS, NAME, EngineLink, Errand, Station, outcome_of
+from corkgauge.net.hub import SECOND, Hub
+from corkgauge.net.link import NEVER
 from corkgauge.net.ring import Allowance
 from corkgauge.net.statement import tables_of
 from corkgauge.stated import Stated
 
-SECOND = 10_000
-MOST_OPEN = 32          # submissions on one client connection
 MOST_RESULT = 48_000    # bytes of one result
 MOST_PAGES = 64
-MID_ANSWER = 3_000      # that an engine may take over one answer, once it has begun
 PAGE_TIME = 2_500       # and for the next page of a result
-SIGN, NO_SIGN = 5_000, 5_000    # quiet of a link with hand-offs out until it is asked for a sign; its time
 UNTOLD = 2.25           # times that an engine should have told of a hand-off, until that counts as lost
-SPREAD = 6              # links to an engine at most, while that keeps hand-offs apart
-PAST = 500              # ids of hand-offs that a link has done with, remembered against copies
-NEVER = 2 ** 62
-LEAST_PAUSE, MOST_PAUSE = SECOND // 20, SECOND // 2     # between two dials of a feed that does not come up
-FEED_SILENT = 15_000
-STUCK = 15_000          # that a client may take over one frame, and before its first is whole
-SETTLED = 500           # that a connection must have been quiet before it gives way to others
 ROOM = 16               # connections that give way at once
-BURST = 300             # that submissions wait at most while more of their connection lies unread
-MOST_FAULTS = 32        # of one client, before its connection ends
 HEAVIEST = 3.6e6        # milliseconds of work that any submission may claim
 # After the signal to end: the longest expiry counts for so much at most; the rest is the page's 0.7 s, less
 # what it takes to write the last answers. Until then submissions still come.
 MOST_EXPIRY, TO_WRITE, STILL_COMING = 3 * SECOND, 4_000, 9_000
-LAST_MOMENT = 500       # before its expiry a client that withdraws is taken to have met it
 # Clients write submissions of one key so far apart, and so long after one that came on a new connection.
 APART, APART_NEW, ARRIVAL = 600, 2_500, 100
 LEAST_ROOM = 4 * 2 ** 20
-OVERHEAD = 3_000        # bytes of memory that a submission takes beside its statement
 PLAIN = re.compile(r"[!-+\-.-<>-~]{1,128}").fullmatch
-NAME = re.compile(r"[0-9a-f]{16}").fullmatch
 KEY = re.compile(r"[0-9a-fA-F]{1,16}").fullmatch
 BLANK = re.compile(rb"\s*+").fullmatch
 STATES = {"SERVING": READY, "DRAINING": DRAINING, "DELETED": GONE}
 NOTES = {"advance": 1, "disk": 2, "stall": 3}
-ENDS = {"WAIT": FULL, "BROKE": ERROR, "PAST": MOOT}
-WORDS = {"DONE", "MORE", "TELL", "FIT", *ENDS}
-COUNTED = {SERVED: "answered served", REFUSED: "answered refused", FAILED: "answered failed"}
-
-# How far an attempt had come when it failed. "Never ran" takes the first, or the engine's own word.
-NOT_BEGUN, PART_WRITTEN, WRITTEN, ANSWERED = range(4)
-
-
-def outcome_of(stage: int, why: str) -> int:
-    """The outcome of a hand-off that failed for its connection: unreached, broken, late or withdrawn.
-
-    >>> outcome_of(NOT_BEGUN, "unreached") == UNREACHED, outcome_of(NOT_BEGUN, "withdrawn") == MOOT
-    (True, True)
-    >>> outcome_of(NOT_BEGUN, "late") == MOOT    # its own time was too short: no fault of the engine's
-    True
-    >>> outcome_of(PART_WRITTEN, "broken") == RESET, outcome_of(WRITTEN, "late") == TIMED_OUT
-    (True, True)
-    >>> outcome_of(ANSWERED, "broken") == RESET      # it ran, and what it made is lost with the connection
-    True
-    """
-    if stage == NOT_BEGUN:
-        return UNREACHED if why == "unreached" else MOOT
-    return TIMED_OUT if why == "late" else RESET
-
-
-class Order:
-    """A submission's side towards its client: where the answer goes, and what goes on unchanged."""
-
-    __slots__ = "caller", "stream", "name", "label", "statement", "size", "memory", "priority"
-
-    def __init__(self, caller: "Caller", stream: int, name: str, label: str, statement: bytes) -> None:
-        self.caller, self.stream, self.name, self.label = caller, stream, name, label
-        self.statement, self.size = statement, len(statement) + OVERHEAD
-        self.memory, self.priority = 0.0, 1
-
-
-class Errand:
-    """A hand-off under way: how far it has come, and its pages."""
-
-    __slots__ = ("handoff", "order", "until", "station", "link", "begin", "end", "answered", "pages", "asked",
-                 "spent", "need", "load", "told")
-
-    def __init__(self, handoff: HandOff, until: int, station: "Station") -> None:
-        self.handoff, self.order, self.until, self.station = handoff, handoff.submission.tag, until, station
-        self.link: EngineLink | None = None
-        self.begin = self.end = self.spent = self.asked = self.told = 0
-        self.need, self.load, self.answered = 0.0, -1.0, False
-        self.pages: list[bytes | None] = []
-
-    def stage(self) -> int:
-        if self.answered:
-            return ANSWERED
-        if self.link is None or self.link.link.sent <= self.begin:
-            return NOT_BEGUN
-        return WRITTEN if self.link.link.sent >= self.end else PART_WRITTEN
-
-
-class Caller:
-    """One client connection."""
-
-    def __init__(self, house: "House", sock: Any) -> None:
-        self.house = house
-        self.open: dict[int, Submission | None] = {}
-        self.waiting: deque[tuple[int, int, list[bytes], int]] = deque()    # without room, and until when
-        self.faults, self.answered, self.gave_up = 0, 0, 0
-        self.fresh: list[Submission] = []       # the gateway has not been told yet
-        self.link = Link(house.hub, sock, ClientWire(self, house.rings), self, STUCK, True)
-
-    def requested(self, stream: int, fields: dict[str, str], body: bytes) -> str:
-        if len(self.waiting) > 2 * MOST_OPEN:   # Danger: answers for one that does not read fill the memory
-            return "answers are not read"
-        return self.house.requested(self, stream, fields, body)
-
-    def withdrawn(self, stream: int) -> str:
-        self.house.counters["withdrawn"] += 1
-        self.gave_up += 1
-        sub, house = self.open.get(stream), self.house
-        if sub is not None and house.now >= sub.taken + sub.life - LAST_MOMENT:
-            # Danger: it is its expiry that has come, a little before ours; an answer is still owed.
-            self.admit(0)
-            house.gateway.expiry_near(sub)
-        else:
-            house.left(self.open.pop(stream, None))
-        # Danger: what is asked for by hundreds and taken back at once is work for nobody.
-        return "withdrawn too often" if self.gave_up > max(MOST_FAULTS, 2 * self.answered) else ""
-
-    def ready_asked(self, stream: int) -> str:
-        self.house.counters["asked ready"] += 1
-        code = 1 if self.house.end == NEVER else 2
-        sent = self.link.send(frame_head(client_wire.READY, stream, code, 0))
-        return "" if sent else "answers are not read"
-
-    def unreadable(self, stream: int, why: str) -> str:
-        """Nobody can use it: told on its stream. Danger: one that sends nothing else costs all the others."""
-        self.house.counters["unreadable"] += 1
-        self.faults += 1
-        self.answer(stream, FAILED, [why.encode()])
-        return "" if self.faults <= MOST_FAULTS else "too much that cannot be used"
-
-    def parting(self, why: str) -> None:
-        """It is turned out. What it has open is given up, so it is answered now; then comes the reason."""
-        self.house.counters["turned out"] += 1
-        for sub in self.fresh:
-            sub.over = True
-            self.house.final(sub, REFUSED, [])
-        for sub in [*self.open.values()]:
-            self.house.gateway.expiry_near(sub)
-        self.answer(0, FAILED, [why.encode()])
-
-    def admit(self, patience: int = BURST) -> None:
-        """Tell the gateway what has come. Danger: of hundreds that come at once, many are taken back by what
-        lies unread behind them, or make no sense; handed off, they would be work for nobody. So while more
-        lies there, all of it has a moment."""
-        if not self.fresh:
-            return
-        now, link = self.house.now, self.link
-        if now < self.fresh[0].taken + patience and not link.why and unread(link.sock):
-            return self.house.hub.later(BURST // 10, self.admit)
-        subs, self.fresh = self.fresh, []
-        for sub in subs:
-            if not sub.over:
-                sub.taken, sub.life = now, max(sub.life - (now - sub.taken), 1)
-                self.house.gateway.submission_taken(sub)
-
-    def idle(self) -> bool:
-        """Nothing is owed, nothing has come for a while, nothing lies unread."""
-        link = self.link
-        if self.open or self.waiting or self.house.now < link.heard + SETTLED:
-            return False
-        return link.parting or not (link.why or len(link.machine.outward) or unread(link.sock))
-
-    def answer(self, stream: int, code: int, body: list[bytes], until: int = NEVER) -> None:
-        house = self.house
-        house.counters[COUNTED[code]] += 1
-        self.answered += 1
-        if self.link.why or (not self.waiting and self._put(stream, code, body)):
-            return
-        # Danger: clients that do not read would fill the memory with results; they get a short answer.
-        if not house.results.take(sum(map(len, body))):
-            house.counters["results dropped"] += 1
-            code, body = FAILED, []
-        self.waiting.append((stream, code, body, until))
-
-    def _put(self, stream: int, code: int, body: list[bytes]) -> bool:
-        return self.link.send(frame_head(ANSWER, stream, code, sum(map(len, body))), *body)
-
-    def drained(self) -> None:
-        """Room again. Danger: what waited past its expiry must not leave as served."""
-        while self.waiting:
-            stream, code, body, until = self.waiting[0]
-            late = self.house.now >= until
-            if not self._put(stream, FAILED if late else code, [] if late else body):
-                return
-            self._drop()
-
-    def _drop(self) -> None:
-        self.house.results.give(sum(map(len, self.waiting.popleft()[2])))
-
-    def ended(self, why: str) -> None:
-        self.house.counters["connections ended"] += 1
-        self.house.callers.pop(self, None)
-        while self.waiting:
-            self._drop()
-        for sub in [*self.open.values()]:
-            self.house.left(sub)
-        self.open.clear()
-
-
-class EngineLink:
-    """One connection to an engine."""
-
-    def __init__(self, station: "Station", sock: Any) -> None:
-        self.station, self.house = station, station.house
-        self.open: dict[str, Errand] = {}
-        self.past: dict[str, None] = {}     # done with, an answer or a copy of one may still come
-        self.retired = False
-        self.alive, self.asked = 0, NEVER   # signs asked for; when, while none has come
-        self.link = Link(self.house.hub, sock, EngineWire(self, self.house.lines), self, MID_ANSWER)
-
-    def room_for(self, order: Order) -> bool:
-        # Danger: both hand-offs of a submission carry its id; a late answer to one would pass for the other.
-        return not (self.retired or self.link.why or self.link.blocked or
-                    len(self.open) >= self.house.stated.streams or
-                    order.name in self.open or order.name in self.past)
-
-    def take(self, errand: Errand) -> bool:
-        """Write a hand-off, unless there is no room."""
-        house, order, handoff = self.house, errand.order, errand.handoff
-        sub, stated = handoff.submission, house.stated
-        fields = [f"sort={sub.offering.name}", f"patience={max((errand.until - house.now) // 10, 1)}"]
-        if order.label:
-            fields.append(f"op={order.label}")
-        if stated.grants and order.memory >= 1:
-            fields.append(f"reserve={int(order.memory)}")
-        if stated.priorities:
-            fields.append(f"level={order.priority}")
-        begin = self.link.put
-        if not self.link.send(command("fetch", order.name, ",".join(fields), order.statement)):
-            return False
-        errand.link, errand.begin, errand.end = self, begin, self.link.put
-        self.open[order.name] = errand
-        house.counters["handed off"] += 1
-        errand.told = house.now
-        if house.patience:
-            house.hub.later(house.patience, house.untold, errand, self)
-        return True
-
-    def say(self, *parts: str) -> None:
-        if not self.link.send(command(*parts)):
-            self.link.end("no room for a command")
-
-    def answered(self, name: str, word: str, fields: dict[str, str], body: bytes) -> str:
-        errand = self.open.get(name)
-        self.asked = NEVER
-        if word not in WORDS:
-            return f"an answer {word[:8]!r}"
-        self.house.counters["answers " + word] += 1
-        if errand is None:
-            # Danger: a copy, a late answer or one to an id of nobody's is no fault of what else is open here.
-            self.house.counters["answers dropped"] += word != "FIT"
-            return "" if word == "FIT" or NAME(name) else "an answer to an id that makes no sense"
-        return self.house.answered(errand, word, fields, body)
-
-    def forget(self, errand: Errand) -> None:
-        """Danger: what still comes under its id, a copy or a late answer, must not pass for a later one's."""
-        if self.open.pop(errand.order.name, None) is not None:
-            self.past[errand.order.name] = None
-            if len(self.past) > PAST:
-                del self.past[next(iter(self.past))]
-        if self.retired and not self.open:
-            self.link.end("no longer needed")
-
-    def drained(self) -> None:
-        self.station.fill()
-
-    def watch(self) -> None:
-        """Danger: the engine closes what is idle, and a hand-off would meet that. So none is ever idle."""
-        if self.link.why:
-            return
-        # Danger: a machine that vanished or was cut off says nothing, and its connections stay open. All that
-        # is out there would wait for its expiry.
-        quiet, now = self.house.now - self.link.heard, self.house.now
-        if now >= self.asked + NO_SIGN:
-            return self.link.end("no sign")
-        if quiet > (min(SIGN, self.idle) if self.open else self.idle) and self.asked == NEVER:
-            self.alive, self.asked = self.alive + 1, now
-            self.say("alive", f"alive-{self.alive}")
-        self.house.hub.later(min(self.idle // 2, SIGN // 2), self.watch)
-
-    @property
-    def idle(self) -> int:
-        return self.house.stated.idle_time // 3
-
-    def ended(self, why: str) -> None:
-        station = self.station
-        station.links.remove(self)
-        errands, self.open = [*self.open.values()], {}
-        if errands:
-            self.house.log(f"link {station.engine.tag} ended: {why}; {len(errands)} out")
-        for errand in errands:
-            if errand.stage() == NOT_BEGUN and station.engine.state == READY:
-                errand.link = None
-                station.waiting.append(errand)
-                self.house.hub.later(self.house.stated.dial_time, self.house.waited, errand)
-            else:
-                self.house.failed(errand, "broken")
-        self.house.close(station)
-        station.fill()
-
-
-class Station:
-    """An engine, its address, its links, and the hand-offs that wait for one."""
-
-    def __init__(self, house: "House", engine: Engine) -> None:
-        self.house, self.engine, self.address = house, engine, ("", 0)
-        self.links: list[EngineLink] = []
-        self.waiting: deque[Errand] = deque()
-        self.dialling, self.spare_from = False, 0
-
-    def fill(self) -> None:
-        """Write what waits to links that have room; dial where there are none."""
-        if self.engine.state != READY:
-            return
-        while self.waiting:
-            order = self.waiting[0].order
-            # Danger: what spoils one answer takes all with it that is open on its link. So they keep apart.
-            link = min((each for each in self.links if each.room_for(order)),
-                       key=lambda each: len(each.open), default=None)
-            if link is None or not link.take(self.waiting[0]):
-                break
-            self.waiting.popleft()
-        most = self.house.links_each()
-        spare = len(self.links) < min(most, SPREAD) and all(each.open for each in self.links) and (
-            self.house.now >= self.spare_from)
-        if (self.waiting or spare) and not self.dialling and len(self.links) < most:
-            self.dialling = True
-            self.house.hub.spawn(self.dial, self.address)
-
-    def dial(self, where: tuple[str, int]) -> None:
-        sock, why = dial(self.house.hub, where, self.house.stated.dial_time)
-        self.dialling = False
-        self.house.counters["dialled"] += 1
-        if sock is None:
-            self.house.counters["unreached"] += 1
-            self.spare_from = self.house.now + SECOND   # Danger: dials without end where none is taken
-            if where == self.address:
-                errands, self.waiting = self.waiting, deque()
-                for errand in errands:
-                    self.house.failed(errand, "unreached")
-            return
-        if where != self.address or self.engine.state != READY:
-            sock.close()
-        else:
-            link = EngineLink(self, sock)
-            self.links.append(link)
-            self.house.hub.spawn(link.link.run)
-            link.watch()
-        self.fill()
-
-    def told(self, where: tuple[str, int], renewed: bool) -> None:
-        """The list names it: a link to what it was before is for nothing new."""
-        if where != self.address or renewed:
-            self.address = where
-            self.retire()
-
-    def retire(self) -> None:
-        for link in self.links:
-            link.retired = True
-            if not link.open:
-                link.link.end("no longer needed")
-
-    def withdraw(self) -> None:
-        """It drains or is gone. Danger: a hand-off that waits for room would begin after that."""
-        self.retire()
-        errands, self.waiting = self.waiting, deque()
-        for errand in errands:
-            self.house.failed(errand, "withdrawn")
-        for link in self.links:     # nor may what a socket that takes no more has kept back
-            if any(errand.stage() == NOT_BEGUN for errand in link.open.values()):
-                link.link.end("unsent at a drain")
 
 
 class Aside:
@@ -696,16 +339,14 @@
             self.page_line.popleft()
 
     def untold(self, errand: Errand, link: EngineLink) -> None:
-        """Danger: an answer that never comes, or after its time, holds its submission and its slot until the
-        expiry. An engine tells regularly of all that runs there; what it tells no more of is over."""
+        """Danger: an answer that never comes, or after its time, holds its submission until the expiry. An
+        engine tells regularly of all that runs; what it tells no more of is over, or it stands still."""
         if errand.handoff in self.errands and errand.link is link and not errand.answered:
             since = self.now - errand.told
-            if since < self.patience:
-                return self.hub.later(self.patience - since, self.untold, errand, link)
-            self.counters["untold"] += 1
-            link.say("abort", errand.order.name)
-            link.forget(errand)
-            self.failed(errand, "broken")
+            if since >= self.patience:
+                self.counters["untold"] += 1
+                self.gateway.overdue(errand.handoff)
+            self.hub.later(self.patience - min(since, self.patience // 2), self.untold, errand, link)
 
     def pages_late(self, errand: Errand, had: int) -> None:
         """Danger: a page that never comes would hold its submission until the expiry. What else is open on
@@ -854,11 +495,6 @@
     return b"\0" not in statement and BLANK(statement) is None
 
 
-def unread(sock: Any) -> int:
-    """Bytes that have come and were not read."""
-    return int.from_bytes(ioctl(sock.fileno(), FIONREAD, b"\0" * 4), sys.byteorder)
-
-
 def plain(text: str) -> bool:
     """May it stand in a command's fields unchanged?
 
@@ -879,65 +515,3 @@
             found = amount(value)
             return otherwise if found is None else float(found)
     return otherwise
-
-
-class Feed:
-    """Keeps the control feed at one address connected, until it is left for another."""
-
-    def __init__(self, house: House, where: tuple[str, int]) -> None:
-        self.house, self.where, self.link = house, where, None
-        self.pause, self.lost, self.left = 0, False, False
-
-    def run(self) -> None:
-        hub = self.house.hub
-        while not (hub.stopped or self.left):
-            begun = hub.now
-            sock, why = dial(hub, self.where, SECOND)
-            if self.left:
-                if sock is not None:
-                    sock.close()
-                return
-            if sock is not None:
-                machine = feed_wire.FeedWire(self, self.house.lines)
-                self.link = Link(hub, sock, machine, self)
-                self.link.send(feed_wire.request("%s:%d" % self.where, self.house.last_event))
-                self.watch(self.link)
-                self.link.run()
-                why = self.link.why
-            if not (self.lost or self.left):
-                self.lost = True
-                self.house.log(f"feed lost: {why}")
-            # Danger: what it tells holds soon after a break, heard or not. So the first try is at once, and
-            # only those that end at once again wait, each longer.
-            if hub.now - begun > SECOND:
-                self.pause = 0
-            if self.pause and not self.left:
-                hub.sleep(self.pause)
-            self.pause = min(max(2 * self.pause, LEAST_PAUSE), MOST_PAUSE)
-
-    def leave(self) -> None:
-        """Another address holds from now on."""
-        self.left = True
-        if self.link is not None:
-            self.link.end("left for another")
-
-    def event(self, number: str, data: str) -> str:
-        self.pause = 0
-        if self.lost:
-            self.lost = False
-            self.house.log(f"feed back at {self.house.last_event}")
-        return self.house.event(number, data)
-
-    def watch(self, link: Link) -> None:
-        """Danger: a feed that stops keeps its connection open. A comment comes each second; without any sign
-        for half a second more it is dead."""
-        if link is self.link and not link.why:
-            if self.house.now - link.heard > FEED_SILENT:
-                return link.end("silent")
-            self.house.hub.later(FEED_SILENT // 8, self.watch, link)
-
-    def drained(self) -> None:
-        pass
-
-    def ended(self, why: str) -> None:
-        pass
--- a/corkgauge/net/hub.py
+++ b/corkgauge/net/hub.py
@@ -14,6 +14,7 @@
 
 from greenlet import getcurrent, greenlet
 
+SECOND = 10_000         # in tenths of a millisecond
 READ, WRITE = select.POLLIN, select.POLLOUT
 BROKEN = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
--- a/corkgauge/net/program.py
+++ b/corkgauge/net/program.py
@@ -17,8 +17,9 @@
 
 from corkgauge.net import configuration
 from corkgauge.net.configuration import Faulty, Post
-from corkgauge.net.host import SECOND, Aside, Feed, House, stated_of
-from corkgauge.net.hub import READ, Hub
+from corkgauge.net.feed import Feed
+from corkgauge.net.host import Aside, House, stated_of
+from corkgauge.net.hub import READ, SECOND, Hub
 
 BACKLOG = 4096
 MOST_MEMORY = 0.75      # of its limit, before garbage is collected
@@ -134,10 +135,8 @@
             for sign in woken.recv(64):
                 if sign == signal.SIGUSR1:
                     logger.info(f"counters {house.counters.line()} {hub.worst()}")
-                elif sign == signal.SIGHUP:
-                    feed.reload(os.environ)
-                else:
-                    house.leave()
+                else:   # as a timer: Danger: what either raises must not end this task
+                    hub.later(0, *((feed.reload, os.environ) if sign == signal.SIGHUP else (house.leave,)))
 
     def collect() -> None:
         """Danger: a collection stops all for 100 ms; it waits until memory is short, and then for a while."""
--- a/tests/yard.py
+++ b/tests/yard.py
@@ -7,7 +7,8 @@
 from corkgauge.interface import HONOURED, READY, Engine, Offering, Submission
 from corkgauge.net.configuration import Post
 from corkgauge.net.engine_wire import command
-from corkgauge.net.host import EngineLink, House, Station
+from corkgauge.net.engines import EngineLink, Station
+from corkgauge.net.host import House
 from corkgauge.net.hub import Hub
 
 SECOND = 10_000
