--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -146,9 +146,10 @@
                 self._close(sub, took + handoff.sent - sub.taken)
             elif not any(h.out for h in sub.handoffs) and not sub.queued:
                 (self._join if self._may_again(sub) else self._end)(sub)
-        for late in [h for h in engine.view.out if h.sent < handoff.sent] if outcome == HONOURED else ():
-            # Danger: an answer that was lost, or comes after its time, though its engine is well: later ones
-            # came first, and it is long overdue. May cost a copy where an estimate was far too low.
+        passed = [h for h in engine.view.out if h.sent < handoff.sent and h.due <= handoff.due]
+        for late in passed if outcome == HONOURED else ():
+            # Danger: an answer that was lost, or comes late, though its engine is well: later ones of no less
+            # work came first, and it is long overdue. May cost a copy where an estimate was far too low.
             late.passed += 1
             if late.passed >= FEW and self.host.now - late.sent > OVERDUE * self._time_of(late.submission):
                 self.overdue(late)
