--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -152,7 +152,7 @@
             # work came first, and it is long overdue. May cost a copy where an estimate was far too low.
             late.passed += 1
             if late.passed >= FEW and self.host.now - late.sent > OVERDUE * self._time_of(late.submission):
-                self.overdue(late)
+                self._rescue(late, HEDGE)
         self.turn(sub.key)
         self._pump()
 
@@ -165,7 +165,7 @@
         # Danger: a bad plan, or a slow engine, holds threads for many times the work; 3, as estimates err.
         left = (now - handoff.sent) * (1 - value) / value
         if self.cancels and left > 3 * self._time_of(sub):
-            self.overdue(handoff, 1.0)
+            self._rescue(handoff)
 
     def patience_over(self, handoff: HandOff) -> None:
         view, now, usual = handoff.engine.view, self.host.now, self._usual_slowness()
@@ -174,7 +174,7 @@
         if handoff.out and not handoff.submission.over and view.heard < handoff.sent:
             if sum((now - max(h.sent, view.heard)) / max(h.due, h.usual) for h in view.out) > SILENT * usual:
                 self._fault(handoff.engine, "silent")
-                self.overdue(handoff, 1.0)
+                self._rescue(handoff)
             else:
                 self.host.wake(max((now - handoff.sent) // 2, 1), self.patience_over, handoff)
 
@@ -419,8 +419,8 @@
         known = sub.memory and len(ratios) >= FEW
         return min(sub.memory * ratios[int(0.85 * len(ratios))], engine.most_memory) if known else 0.0
 
-    def overdue(self, handoff: HandOff, share: float = HEDGE) -> None:
-        """Try one that does badly, or is told no more of, elsewhere: called off first, or a second copy."""
+    def _rescue(self, handoff: HandOff, share: float = 1.0) -> None:
+        """Try a hand-off that does badly elsewhere: called off first, or a second copy."""
         sub = handoff.submission    # Danger: copies on suspicion must leave budget for what is lost for sure
         if not (sub.over or handoff.called_off or sub.queued) and (
                 self._may_again(sub) and self._extra_left(share)):
@@ -499,8 +499,7 @@
             if doubted and self._trusted(view):
                 self.host.log(f"back {engine.name} faults={sum(map(bool, view.faults))}")
             alone = max((work or sub.work) / offering.threads, 1)
-            share = work / max(sub.estimate, 1), need / max(sub.memory, 1.0)
-            offering.samples.append((*share, work or sub.work))
+            offering.samples.append((work / (sub.estimate or 1), need / (sub.memory or 1), work or sub.work))
             offering.usual = self._usual_work(offering)
             view.slowness.append(max(took, 1) / alone)
             if len(view.slowness) >= FEW:
--- a/corkgauge/net/engines.py
+++ b/corkgauge/net/engines.py
@@ -16,8 +16,7 @@
 from corkgauge.net.link import NEVER, Link, dial
 
 MID_ANSWER = 3_000      # that an engine may take over one answer, once it has begun
-# Quiet of a link with hand-offs out until it is asked for a sign, then until they are overdue, then its end.
-SIGN, NO_SIGN, MUTE = 5_000, 5_000, 15_000
+SIGN, NO_SIGN = 5_000, 5_000    # quiet of a link with hand-offs out until it is asked for a sign; its time
 SPREAD = 6              # links to an engine at most, while that keeps hand-offs apart
 PAST = 500              # ids of hand-offs that a link has done with, remembered against copies
 NAME = re.compile(r"[0-9a-f]{16}").fullmatch
@@ -49,12 +48,12 @@
     """A hand-off under way: how far it has come, and its pages."""
 
     __slots__ = ("handoff", "order", "until", "station", "link", "begin", "end", "answered", "pages", "asked",
-                 "spent", "need", "load", "told")
+                 "spent", "need", "load")
 
     def __init__(self, handoff: HandOff, until: int, station: "Station") -> None:
         self.handoff, self.order, self.until, self.station = handoff, handoff.submission.tag, until, station
         self.link: EngineLink | None = None
-        self.begin = self.end = self.spent = self.asked = self.told = 0
+        self.begin = self.end = self.spent = self.asked = 0
         self.need, self.load, self.answered = 0.0, -1.0, False
         self.pages: list[bytes | None] = []
 
@@ -73,13 +72,13 @@
         self.station, self.house = station, station.house
         self.open: dict[str, Errand] = {}
         self.past: dict[str, None] = {}     # done with, an answer or a copy of one may still come
-        self.retired = self.mute = False
+        self.retired = False
         self.alive, self.asked = 0, NEVER   # signs asked for; when, while none has come
         self.link = Link(self.house.hub, sock, EngineWire(self, self.house.lines), self, MID_ANSWER)
 
     def room_for(self, order: Order) -> bool:
         # Danger: both hand-offs of a submission carry its id; a late answer to one would pass for the other.
-        return not (self.retired or self.mute or self.link.why or self.link.blocked or
+        return not (self.retired or self.link.why or self.link.blocked or
                     len(self.open) >= self.house.stated.streams or
                     order.name in self.open or order.name in self.past)
 
@@ -100,9 +99,6 @@
         errand.link, errand.begin, errand.end = self, begin, self.link.put
         self.open[order.name] = errand
         house.counters["handed off"] += 1
-        errand.told = house.now
-        if house.patience:
-            house.hub.later(house.patience, house.untold, errand, self)
         return True
 
     def say(self, *parts: str) -> None:
@@ -111,7 +107,7 @@
 
     def answered(self, name: str, word: str, fields: dict[str, str], body: bytes) -> str:
         errand = self.open.get(name)
-        self.asked, self.mute = NEVER, False
+        self.asked = NEVER
         if word not in WORDS:
             return f"an answer {word[:8]!r}"
         self.house.counters["answers " + word] += 1
@@ -138,15 +134,10 @@
         if self.link.why:
             return
         # Danger: a machine that vanished or was cut off says nothing, and its connections stay open. All that
-        # is out there would wait for its expiry. But one that only stands still for a while goes on with it.
+        # is out there would wait for its expiry.
         quiet, now = self.house.now - self.link.heard, self.house.now
-        if now >= self.asked + MUTE:
+        if now >= self.asked + NO_SIGN:
             return self.link.end("no sign")
-        if now >= self.asked + NO_SIGN and not self.mute:
-            self.mute = True
-            for errand in [*self.open.values()]:
-                self.house.gateway.overdue(errand.handoff)
-            self.station.fill()
         if quiet > (min(SIGN, self.idle) if self.open else self.idle) and self.asked == NEVER:
             self.alive, self.asked = self.alive + 1, now
             self.say("alive", f"alive-{self.alive}")
