--- a/corkgauge/net/engines.py
+++ b/corkgauge/net/engines.py
@@ -48,12 +48,12 @@
     """A hand-off under way: how far it has come, and its pages."""
 
     __slots__ = ("handoff", "order", "until", "station", "link", "begin", "end", "answered", "pages", "asked",
-                 "spent", "need", "load")
+                 "spent", "need", "load", "told")
 
     def __init__(self, handoff: HandOff, until: int, station: "Station") -> None:
         self.handoff, self.order, self.until, self.station = handoff, handoff.submission.tag, until, station
         self.link: EngineLink | None = None
-        self.begin = self.end = self.spent = self.asked = 0
+        self.begin = self.end = self.spent = self.asked = self.told = 0
         self.need, self.load, self.answered = 0.0, -1.0, False
         self.pages: list[bytes | None] = []
 
@@ -99,6 +99,9 @@
         errand.link, errand.begin, errand.end = self, begin, self.link.put
         self.open[order.name] = errand
         house.counters["handed off"] += 1
+        errand.told = house.now
+        if house.patience:
+            house.hub.later(house.patience, house.untold, errand, self)
         return True
 
     def say(self, *parts: str) -> None:
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -19,7 +19,7 @@
 from corkgauge.net.configuration import Faulty, Post, address
 from corkgauge.net.counters import Counters
 from corkgauge.net.engine_wire import MOST_PAGE, page
-from corkgauge.net.engines import ENDS, NAME, Errand, Station, outcome_of
+from corkgauge.net.engines import ENDS, NAME, EngineLink, Errand, Station, outcome_of
 from corkgauge.net.hub import SECOND, Hub
 from corkgauge.net.link import NEVER
 from corkgauge.net.ring import Allowance
@@ -29,6 +29,7 @@
 MOST_RESULT = 48_000    # bytes of one result
 MOST_PAGES = 64
 PAGE_TIME = 2_500       # and for the next page of a result
+UNTOLD = 3              # times that an engine should have told of a hand-off, until that counts as lost
 ROOM = 16               # connections that give way at once
 HEAVIEST = 3.6e6        # milliseconds of work that any submission may claim
 # After the signal to end: the longest expiry counts for so much at most; the rest is the page's 0.7 s, less
@@ -83,6 +84,7 @@
         self.stated = stated_of(post, self)
         self.gateway = self.stated.gateway
         self.most_memory = max(self.stated.sizes, default=1e6)
+        self.patience = UNTOLD * self.stated.tells
         self.offerings = {each.name: each for each in self.stated.offerings}
         self.tenants = {name: n for n, name in enumerate(self.stated.tenants)}
         self.last_event = post.known
@@ -284,6 +286,7 @@
     def answered(self, errand: Errand, word: str, fields: dict[str, str], body: bytes) -> str:
         """An engine's answer; what is wrong with it."""
         handoff = errand.handoff
+        errand.told = self.now
         if word == "TELL":
             sort, value = NOTES.get(fields.get("n", ""), 0), amount(fields.get("amount", "0"))
             self.gateway.handoff_progress(handoff, sort, float(value or 0))
@@ -335,6 +338,19 @@
                 self.hub.later(PAGE_TIME, self.pages_late, errand, 1)
             self.page_line.popleft()
 
+    def untold(self, errand: Errand, link: EngineLink) -> None:
+        """Danger: an answer that never comes holds its submission, its slot and a line until the expiry. An
+        engine tells regularly of all that runs; what it tells no more of, while its link is heard, is over.
+        """
+        if errand.handoff in self.errands and errand.link is link and not errand.answered:
+            since = self.now - errand.told
+            if since < self.patience or link.link.heard < self.now - SECOND // 2:
+                return self.hub.later(max(self.patience - since, SECOND // 10), self.untold, errand, link)
+            self.counters["untold"] += 1
+            link.say("abort", errand.order.name)
+            link.forget(errand)
+            self.failed(errand, "broken")
+
     def pages_late(self, errand: Errand, had: int) -> None:
         """Danger: a page that never comes would hold its submission until the expiry. What else is open on
         that link may be well, so only this hand-off is given up."""
--- a/corkgauge/stated.py
+++ b/corkgauge/stated.py
@@ -26,6 +26,7 @@
         self.most_memory = {kind: most * size for kind, size in enumerate(self.sizes)}
         self.bills, self.grants = bool(extra.get("bills")), bool(extra.get("takesGrants"))
         self.priorities = bool(extra.get("takesPriority"))
+        self.tells = figure(extra, "tellsEveryUs", 0) // 100    # of every hand-off that is out; 0: not at all
         widths = extra.get("widthByClass", [])
         self.offerings = [offering(p, n, widths) for n, p in enumerate(said.get("profiles", []))]
         if not self.offerings:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -423,6 +423,24 @@
     assert [answer[1:3] for answer in premises.answers(client)] == [(2, b"\1"), (1, b"\1")]
 
 
+def test_what_an_engine_tells_no_more_of_goes_elsewhere_before_its_expiry():
+    premises = Premises([listing(1, {}, {"id": "e2", "state": "DRAINING"})],
+                        extra={**STATED_ON_SOCKETS["extra"], "tellsEveryUs": 300_000})
+    client, engine = premises.client(), premises.engine()
+    premises.ask(client, request(1) + request(2))
+    premises.house.event("2", json.dumps(listing(2, {"id": "e2"}, full=False)))
+    other = premises.engine("e2")
+    for _ in range(4):
+        premises.pass_time(2_500)
+        premises.engine_says(engine, name(2), "TELL", "-", "")
+    again = premises.heard(other)
+    assert T1.encode() in again and name(2).encode() not in again
+    assert command("abort", T1) in premises.heard(engine)
+    premises.engine_says(engine, T1, "DONE", "chunks=1", ROW)   # after its time, and no harm
+    premises.engine_says(other, T1, "DONE", "chunks=1", "b\t\t\n")
+    assert premises.answers(client) == [(4, 1, b"\1", b"b\t\t\n")]
+
+
 def test_hand_offs_keep_apart_so_that_one_bad_answer_spoils_few():
     premises = Premises()
     client, engines = premises.client(), [premises.engine(), premises.engine()]
