An engine that stood still goes on: what was due meanwhile is not lost

Lines at fault: House.pages_late and House.untold went by the time alone, so work that an engine had done, and would have sent once it went on, was given up and asked for again.

Now a page is late only if its engine spoke since; a hand-off is untold only while its link speaks, counted from the end of the last pause.

--- a/corkgauge/net/engines.py
+++ b/corkgauge/net/engines.py
@@ -17,6 +17,7 @@
 
 MID_ANSWER = 3_000      # that an engine may take over one answer, once it has begun
 SIGN, NO_SIGN = 5_000, 5_000    # quiet of a link with hand-offs out until it is asked for a sign; its time
+LIVELY = SIGN + 4_000   # longest between two answers of a link that is asked for signs when it is quiet
 SPREAD = 6              # links to an engine at most, while that keeps hand-offs apart
 PAST = 500              # ids of hand-offs that a link has done with, remembered against copies
 NAME = re.compile(r"[0-9a-f]{16}").fullmatch
@@ -74,6 +75,7 @@
         self.past: dict[str, None] = {}     # done with, an answer or a copy of one may still come
         self.retired = False
         self.alive, self.asked = 0, NEVER   # signs asked for; when, while none has come
+        self.spoke = self.lively = self.house.now   # its last answer; since when none was long in coming
         self.link = Link(self.house.hub, sock, EngineWire(self, self.house.lines), self, MID_ANSWER)
 
     def room_for(self, order: Order) -> bool:
@@ -110,7 +112,10 @@
 
     def answered(self, name: str, word: str, fields: dict[str, str], body: bytes) -> str:
         errand = self.open.get(name)
-        self.asked = NEVER
+        self.asked, now = NEVER, self.house.now
+        # Danger: an engine that stood still goes on where it was; what was due meanwhile is not lost.
+        self.lively = now if now > self.spoke + LIVELY else self.lively
+        self.spoke = now
         if word not in WORDS:
             return f"an answer {word[:8]!r}"
         self.house.counters["answers " + word] += 1
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -335,29 +335,30 @@
                 errand.asked = size
                 for n in range(1, len(errand.pages)):
                     errand.link.say("more", errand.order.name, str(n))
-                self.hub.later(PAGE_TIME, self.pages_late, errand, 1)
+                self.hub.later(PAGE_TIME, self.pages_late, errand, 1, self.now)
             self.page_line.popleft()
 
     def untold(self, errand: Errand, link: EngineLink) -> None:
         """Danger: an answer that never comes holds its submission, its slot and a line until the expiry. An
-        engine tells regularly of all that runs; what it tells no more of, while its link is heard, is over.
+        engine tells regularly of all that runs; what it tells no more of, while its link is lively, is over.
         """
         if errand.handoff in self.errands and errand.link is link and not errand.answered:
-            since = self.now - errand.told
-            if since < self.patience or link.link.heard < self.now - SECOND // 2:
+            since = self.now - max(errand.told, link.lively)
+            if since < self.patience or link.spoke < self.now - SECOND // 2:
                 return self.hub.later(max(self.patience - since, SECOND // 10), self.untold, errand, link)
             self.counters["untold"] += 1
             link.say("abort", errand.order.name)
             link.forget(errand)
             self.failed(errand, "broken")
 
-    def pages_late(self, errand: Errand, had: int) -> None:
+    def pages_late(self, errand: Errand, had: int, since: int) -> None:
         """Danger: a page that never comes would hold its submission until the expiry. What else is open on
-        that link may be well, so only this hand-off is given up."""
+        that link may be well, so only this hand-off is given up, and only where its engine spoke since."""
         if errand.handoff in self.errands:
             have = len(errand.pages) - errand.pages.count(None)
-            if have > had:
-                return self.hub.later(PAGE_TIME, self.pages_late, errand, have)
+            if have > had or errand.link.spoke < since + PAGE_TIME // 2:
+                since = self.now if have > had else since
+                return self.hub.later(PAGE_TIME, self.pages_late, errand, have, since)
             self.counters["pages late"] += 1
             errand.link.say("done", errand.order.name)
             errand.link.forget(errand)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -416,6 +416,9 @@
     premises.pass_time(2_000)
     assert not premises.heard(other)    # a page came; the next has its time too
     premises.pass_time(3_500)
+    assert not premises.heard(other)    # Danger: it may stand still, and go on with that page first
+    premises.engine_says(engine, name(2), "TELL", "-", "")
+    premises.pass_time(2_500)
     assert command("done", T1) in premises.heard(engine) and T1.encode() in premises.heard(other)
     premises.engine_says(engine, T1, "MORE", "at=2", ROW)   # too late, and no harm
     premises.engine_says(engine, name(2), "DONE", "chunks=1", ROW)
@@ -430,8 +433,11 @@
     premises.ask(client, request(1) + request(2))
     premises.house.event("2", json.dumps(listing(2, {"id": "e2"}, full=False)))
     other = premises.engine("e2")
+    premises.pass_time(9_500)
+    premises.engine_says(engine, name(2), "TELL", "-", "")
+    assert not premises.heard(other)    # Danger: it stood still, and may tell of the other next
     for _ in range(4):
-        premises.pass_time(2_500)
+        premises.pass_time(2_400)
         premises.engine_says(engine, name(2), "TELL", "-", "")
     again = premises.heard(other)
     assert T1.encode() in again and name(2).encode() not in again
