--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -149,8 +149,8 @@
         passed = [h for h in engine.view.out if h.sent < handoff.sent and h.due <= handoff.due]
         for late in passed if outcome == HONOURED else ():
             # Danger: an answer that was lost, or comes late, though its engine is well: later ones of no less
-            # work came first, and it is long overdue. May cost a copy where an estimate was far too low.
-            late.passed += 1
+            # work came first, and it is long overdue. Under pressure (a price) copies would crowd out others.
+            late.passed += not self.price
             if late.passed >= FEW and self.host.now - late.sent > OVERDUE * self._time_of(late.submission):
                 self._rescue(late, HEDGE)
         self.turn(sub.key)
