One way to let a hand-off go, where four places wrote it

host.py told an engine `done` or `abort` and forgot the hand-off in four places: a whole result, a late page, an untold one, one too late. EngineLink.let_go does it now; by whether the first page is there it says what each of them said. Calling off stays apart: it says `abort` in any case. The comment on PAGE_TIME had lost the line that it leaned on. No behaviour changes; tests are as they were.

--- a/corkgauge/net/engines.py
+++ b/corkgauge/net/engines.py
@@ -125,6 +125,12 @@
             return "" if word == "FIT" or NAME(name) else "an answer to an id that makes no sense"
         return self.house.answered(errand, word, fields, body)
 
+    def let_go(self, errand: Errand) -> None:
+        """Nothing more is wanted of it. Danger: the engine works on past the time that it was told, and holds
+        it until it hears."""
+        self.say("done" if errand.answered else "abort", errand.order.name)
+        self.forget(errand)
+
     def forget(self, errand: Errand) -> None:
         """Danger: what still comes under its id, a copy or a late answer, must not pass for a later one's."""
         if self.open.pop(errand.order.name, None) is not None:
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -28,7 +28,7 @@
 
 MOST_RESULT = 48_000    # bytes of one result
 MOST_PAGES = 64
-PAGE_TIME = 2_500       # and for the next page of a result
+PAGE_TIME = 2_500       # that an engine may take over the next page of a result
 UNTOLD = 3              # times that an engine should have told of a hand-off, until that counts as lost
 ROOM = 16               # connections that give way at once
 HEAVIEST = 3.6e6        # milliseconds of work that any submission may claim
@@ -347,8 +347,7 @@
             if since < self.patience or link.spoke < self.now - SECOND // 2:
                 return self.hub.later(max(self.patience - since, SECOND // 10), self.untold, errand, link)
             self.counters["untold"] += 1
-            link.say("abort", errand.order.name)
-            link.forget(errand)
+            link.let_go(errand)
             self.failed(errand, "broken")
 
     def pages_late(self, errand: Errand, had: int, since: int) -> None:
@@ -360,8 +359,7 @@
                 since = self.now if have > had else since
                 return self.hub.later(PAGE_TIME, self.pages_late, errand, have, since)
             self.counters["pages late"] += 1
-            errand.link.say("done", errand.order.name)
-            errand.link.forget(errand)
+            errand.link.let_go(errand)
             self.failed(errand, "broken")
 
     def whole(self, errand: Errand) -> str:
@@ -369,8 +367,7 @@
         sub = errand.handoff.submission
         if sum(len(each or b"") for each in errand.pages) > MOST_RESULT:
             return "a result that is too long"
-        errand.link.say("done", errand.order.name)
-        errand.link.forget(errand)
+        errand.link.let_go(errand)
         if not sub.over:
             self.final(sub, SERVED, errand.pages)
         self.done(errand, HONOURED)
@@ -413,9 +410,7 @@
         if errand.link is None:
             errand.station.waiting.remove(errand)
         else:
-            # Danger: the engine works on past the time that it was told, and holds it until it hears.
-            errand.link.say("done" if errand.answered else "abort", errand.order.name)
-            errand.link.forget(errand)
+            errand.link.let_go(errand)
         self.failed(errand, "late")
 
     # The list of engines.
