--- /dev/null
+++ b/corkgauge/figures/ledger.py
@@ -0,0 +1,236 @@
+"""The first book: counts entered where things happen, per offering, engine and side of a connection.
+
+Owns the rows and the last events. Free of I/O, the clock is handed in. Must never look at the live records
+(the auditor does, and compares), never put a count right, and never cost more than a few additions an entry.
+
+A row keeps, beside how many are open, the sum of their serials. So two mistakes that cancel out in a count
+(one lost, another entered twice) do not cancel here, and the difference of a single mistake is its serial.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from corkgauge.figures.terms import (AT_THE_DOOR, CLIENT, DEPARTED_ROW, FIRST, OUTCOMES, REASONS, SIDES, SORTS,
+                                     TERM_OF, TERMS, UNUSABLE, UNUSABLE_ROW)
+
+LAST_EVENTS = 512       # kept in all, to show what happened around a mistake
+SLICES = 50             # of the budget's window; counts of submissions are kept by slice
+(ENTERED, CLOSED, HANDED, OVER) = EVENTS = "entered", "closed", "handed off", "over"
+
+
+class OfferingRow:
+    """The account of one offering."""
+
+    __slots__ = "name", "terms", "reasons", "open", "mark", "sorts", "out", "out_mark"
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.terms = [0] * len(TERMS)       # taken, served, refused, failed
+        self.reasons = [0] * len(REASONS)
+        self.open = self.mark = 0           # how many are open, and the sum of their serials
+        self.sorts = [0] * len(SORTS)       # hand-offs: firsts, further, copies
+        self.out = self.out_mark = 0        # hand-offs out, and the sum of their serials
+
+
+class EngineRow:
+    """The account of one engine, by its id; of all that left, in one row."""
+
+    __slots__ = "name", "sorts", "outcomes", "out", "mark", "pages", "links", "gone"
+
+    def __init__(self, name: str) -> None:
+        self.name, self.gone = name, False
+        self.sorts = [0] * len(SORTS)
+        self.outcomes = [0] * len(OUTCOMES)
+        self.out = self.mark = self.pages = self.links = 0
+
+    def add(self, other: "EngineRow") -> None:
+        self.sorts = [*map(sum, zip(self.sorts, other.sorts))]
+        self.outcomes = [*map(sum, zip(self.outcomes, other.outcomes))]
+        self.out, self.mark, self.pages = self.out + other.out, self.mark + other.mark, self.pages + other.pages
+
+
+class SideRow:
+    """The account of the connections of one side; bytes and pages are of those that have ended."""
+
+    __slots__ = "name", "up", "ended", "got", "sent", "pages"
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.up = self.ended = self.got = self.sent = self.pages = 0
+
+
+class Ledger:
+    """One method for each thing that is counted. `guard` hears of what is wrong at the entry itself:
+    what, the row, the serial."""
+
+    def __init__(self, offerings: Iterable[str], clock: Callable[[], int],
+                 budget: tuple[float, float, int] | None = None,
+                 guard: Callable[[str, Any, int], None] = lambda *_: None) -> None:
+        self.clock, self.guard = clock, guard
+        self.offerings = {name: OfferingRow(name) for name in offerings}
+        self.unusable_row = self.offerings[UNUSABLE_ROW] = OfferingRow(UNUSABLE_ROW)
+        self.engines: dict[str, EngineRow] = {}
+        self.departed = EngineRow(DEPARTED_ROW)
+        self.leaving: list[EngineRow] = []      # gone, with hand-offs out
+        self.sides = [SideRow(name) for name in SIDES]
+        self.serial = self.handoff_serial = 0
+        self.events = deque[tuple[int, str, Any, int]](maxlen=LAST_EVENTS)
+        # What the rule on further hand-offs counts: floor, share and window; when those were sent; what was
+        # taken, by slice of the window, and the sum of it.
+        self.floor, self.share, self.span = budget or (0.0, 0.0, 0)
+        self.slice = max(self.span // SLICES, 1)
+        self.extras, self.taken_by, self.taken_lately = deque[int](), deque[list[int]](), 0
+
+    # Submissions. `entry` is whatever bears `row` and `serial`; 0 is none, below it is one closed.
+
+    def taken(self, row: OfferingRow, entry: Any) -> None:
+        """From now on one final answer is owed."""
+        if entry.serial:
+            self.guard("entered twice", row, abs(entry.serial))
+        self.serial = entry.serial = self.serial + 1
+        entry.row = row
+        row.terms[0] += 1
+        row.open += 1
+        row.mark += self.serial
+        now = self.clock()
+        self.events.append((now, ENTERED, row, self.serial))
+        if self.span:
+            self.taken_lately += 1
+            if self.taken_by and self.taken_by[-1][0] + self.slice > now:
+                self.taken_by[-1][1] += 1
+            else:
+                self._trim(now)
+                self.taken_by.append([now, 1])
+
+    def closed(self, entry: Any, reason: int) -> None:
+        """It is over, for this reason."""
+        row, serial = entry.row, entry.serial
+        if serial <= 0:
+            # Danger: a second end would pass unseen where another is lost. It is entered all the same, since
+            # counts are never put right in silence.
+            self.guard("closed twice", row, -serial)
+            serial = -serial
+        entry.serial = -serial
+        row.terms[TERM_OF[reason]] += 1
+        row.reasons[reason] += 1
+        row.open -= 1
+        row.mark -= serial
+        self.events.append((self.clock(), CLOSED, row, serial))
+
+    def turned_away(self, row: OfferingRow) -> None:
+        """Taken and refused at once: there is no room for it."""
+        self._at_once(row, AT_THE_DOOR)
+
+    def unusable(self) -> None:
+        """Taken, and of no use to anybody; so it names no offering."""
+        self._at_once(self.unusable_row, UNUSABLE)
+
+    def _at_once(self, row: OfferingRow, reason: int) -> None:
+        row.terms[0] += 1
+        row.terms[TERM_OF[reason]] += 1
+        row.reasons[reason] += 1
+
+    # Hand-offs.
+
+    def handed_off(self, row: OfferingRow, engine: EngineRow, sort: int) -> int:
+        """The serial of a hand-off that goes out."""
+        serial = self.handoff_serial = self.handoff_serial + 1
+        row.sorts[sort] += 1
+        row.out += 1
+        row.out_mark += serial
+        engine.sorts[sort] += 1
+        engine.out += 1
+        engine.mark += serial
+        now = self.clock()
+        self.events.append((now, HANDED, engine, serial))
+        if sort != FIRST and self.span:
+            self._extra(engine, serial, now)
+        return serial
+
+    def handoff_over(self, row: OfferingRow, engine: EngineRow, serial: int, outcome: int) -> int:
+        """Its outcome has come; what stands for its serial from now on."""
+        if serial <= 0:
+            self.guard("hand-off closed twice", engine, -serial)
+            serial = -serial
+        engine.outcomes[outcome] += 1
+        engine.out -= 1
+        engine.mark -= serial
+        row.out -= 1
+        row.out_mark -= serial
+        self.events.append((self.clock(), OVER, engine, serial))
+        if engine.gone and not engine.out and engine in self.leaving:
+            self.leaving.remove(engine)
+            self.departed.add(engine)
+        return -serial
+
+    # Engines and connections.
+
+    def engine(self, name: str) -> EngineRow:
+        """The row of an engine that the list names. One that comes back under its id starts anew: what it
+        was before has departed."""
+        if name not in self.engines:
+            self.engines[name] = EngineRow(name)
+        return self.engines[name]
+
+    def engine_gone(self, row: EngineRow) -> None:
+        """Danger: a day of engines that come and go under new ids would grow without end; they fold into one."""
+        if not row.gone:
+            row.gone = True
+            if self.engines.get(row.name) is row:
+                del self.engines[row.name]
+            if row.out:
+                self.leaving.append(row)
+            else:
+                self.departed.add(row)
+
+    def connection_up(self, side: int) -> None:
+        self.sides[side].up += 1
+
+    def connection_over(self, side: int, got: int, sent: int, pages: int = 0) -> None:
+        """Bytes read and written of one connection, and pages of results that came on it."""
+        row = self.sides[side]
+        row.ended += 1
+        row.got += got
+        row.sent += sent
+        row.pages += pages
+
+    # What is asked of it.
+
+    def engine_rows(self) -> list[EngineRow]:
+        """All rows of engines, the departed ones last."""
+        return [*self.engines.values(), *self.leaving, self.departed]
+
+    def answered(self, term: int) -> int:
+        return sum(row.terms[term] for row in self.offerings.values())
+
+    def outcome(self, outcome: int) -> int:
+        return sum(row.outcomes[outcome] for row in self.engine_rows())
+
+    def _extra(self, engine: EngineRow, serial: int, now: int) -> None:
+        """The rule on further hand-offs, as it stands when one is sent: counted here from what was taken, not
+        from what the gateway holds of it. The window is one slice wider for what was taken."""
+        self._trim(now)
+        self.extras.append(now)
+        if len(self.extras) > self.floor + self.share * self.taken_lately:
+            self.guard("over budget", engine, serial)
+
+    def _trim(self, now: int) -> None:
+        while self.extras and self.extras[0] <= now - self.span:
+            self.extras.popleft()
+        while self.taken_by and self.taken_by[0][0] + self.slice <= now - self.span:
+            self.taken_lately -= self.taken_by.popleft()[1]
+
+    def last_events(self, row: Any, serial: int = 0, most: int = 8) -> list[tuple[int, str, int]]:
+        """The last events of a row, or those of one serial there: when, what, serial."""
+        found = [(when, what, which) for when, what, where, which in self.events
+                 if where is row and (not serial or which == serial)]
+        return found[-most:]
+
+    def line(self) -> dict[str, int]:
+        """Totals under the names that the log has always had."""
+        said = {"taken": self.answered(0)}
+        said |= {f"answered {name}": self.answered(n) for n, name in enumerate(TERMS) if n}
+        said |= {f"outcome {n}": self.outcome(n) for n in range(len(OUTCOMES))}
+        said |= {"connections": self.sides[CLIENT].up, "connections ended": self.sides[CLIENT].ended}
+        return {name: count for name, count in said.items() if count}
--- a/corkgauge/net/clients.py
+++ b/corkgauge/net/clients.py
@@ -11,9 +11,10 @@
 from termios import FIONREAD
 from typing import Any
 
+from corkgauge.figures.terms import CLIENT, CLIENT_GONE, CUT_OFF, NOT_READ, TURNED_OUT, WITHDRAWN
 from corkgauge.interface import Submission
 from corkgauge.net import client_wire
-from corkgauge.net.client_wire import ANSWER, FAILED, REFUSED, SERVED, ClientWire, frame_head
+from corkgauge.net.client_wire import ANSWER, FAILED, REFUSED, ClientWire, frame_head
 from corkgauge.net.link import NEVER, Link
 
 MOST_OPEN = 32          # submissions on one client connection
@@ -23,18 +24,20 @@
 MOST_FAULTS = 32        # of one client, before its connection ends
 LAST_MOMENT = 500       # before its expiry a client that withdraws is taken to have met it
 OVERHEAD = 3_000        # bytes of memory that a submission takes beside its statement
-COUNTED = {SERVED: "answered served", REFUSED: "answered refused", FAILED: "answered failed"}
 
 
 class Order:
     """A submission's side towards its client: where the answer goes, and what goes on unchanged."""
 
-    __slots__ = "caller", "stream", "name", "label", "statement", "size", "memory", "priority"
+    __slots__ = ("caller", "stream", "name", "label", "statement", "size", "memory", "priority", "row",
+                 "serial", "reason")
 
     def __init__(self, caller: "Caller", stream: int, name: str, label: str, statement: bytes) -> None:
         self.caller, self.stream, self.name, self.label = caller, stream, name, label
         self.statement, self.size = statement, len(statement) + OVERHEAD
         self.memory, self.priority = 0.0, 1
+        self.row: Any = None                    # its offering's account
+        self.serial = self.reason = 0           # there, below 0 once its end is counted; why it ended
 
 
 class Caller:
@@ -43,7 +46,8 @@
     def __init__(self, house: Any, sock: Any) -> None:
         self.house = house
         self.open: dict[int, Submission | None] = {}
-        self.waiting: deque[tuple[int, int, list[bytes], int]] = deque()    # without room, and until when
+        self.waiting = deque[tuple[int, int, list[bytes], int, Order | None]]()    # without room, until when
+        self.unwritten = deque[tuple[int, Order]]()     # answers put, each with where it ends among what was
         self.faults, self.answered, self.gave_up = 0, 0, 0
         self.fresh: list[Submission] = []       # the gateway has not been told yet
         self.link = Link(house.hub, sock, ClientWire(self, house.rings), self, STUCK, True)
@@ -62,7 +66,7 @@
             self.admit(0)
             house.gateway.expiry_near(sub)
         else:
-            house.left(self.open.pop(stream, None))
+            house.left(self.open.pop(stream, None), WITHDRAWN)
         # Danger: what is asked for by hundreds and taken back at once is work for nobody.
         return "withdrawn too often" if self.gave_up > max(MOST_FAULTS, 2 * self.answered) else ""
 
@@ -75,6 +79,8 @@
     def unreadable(self, stream: int, why: str) -> str:
         """Nobody can use it: told on its stream. Danger: one that sends nothing else costs all the others."""
         self.house.counters["unreadable"] += 1
+        if stream:
+            self.house.ledger.unusable()
         self.faults += 1
         self.answer(stream, FAILED, [why.encode()])
         return "" if self.faults <= MOST_FAULTS else "too much that cannot be used"
@@ -84,7 +90,7 @@
         self.house.counters["turned out"] += 1
         for sub in self.fresh:
             sub.over = True
-            self.house.final(sub, REFUSED, [])
+            self.house.final(sub, REFUSED, [], TURNED_OUT)
         for sub in [*self.open.values()]:
             self.house.gateway.expiry_near(sub)
         self.answer(0, FAILED, [why.encode()])
@@ -111,40 +117,67 @@
             return False
         return link.parting or not (link.why or len(link.machine.outward) or unread(link.sock))
 
-    def answer(self, stream: int, code: int, body: list[bytes], until: int = NEVER) -> None:
+    def answer(self, stream: int, code: int, body: list[bytes], until: int = NEVER,
+               order: Order | None = None) -> None:
+        """`order` is the one whose end this is, until the last byte of it has left."""
         house = self.house
-        house.counters[COUNTED[code]] += 1
         self.answered += 1
-        if self.link.why or (not self.waiting and self._put(stream, code, body)):
-            return
-        # Danger: clients that do not read would fill the memory with results; they get a short answer.
-        if not house.results.take(sum(map(len, body))):
-            house.counters["results dropped"] += 1
-            code, body = FAILED, []
-        self.waiting.append((stream, code, body, until))
+        if self.link.why:
+            self._gone(order)
+        elif self.waiting or not self._put(stream, code, body, order):
+            # Danger: clients that do not read would fill the memory with results; they get a short answer.
+            if not house.results.take(sum(map(len, body))):
+                house.counters["results dropped"] += 1
+                code, body = self._not_read(order)
+            self.waiting.append((stream, code, body, until, order))
+
+    def _put(self, stream: int, code: int, body: list[bytes], order: Order | None) -> bool:
+        if not self.link.send(frame_head(ANSWER, stream, code, sum(map(len, body))), *body):
+            return False
+        if order is not None:
+            self.unwritten.append((self.link.put, order))
+        return True
 
-    def _put(self, stream: int, code: int, body: list[bytes]) -> bool:
-        return self.link.send(frame_head(ANSWER, stream, code, sum(map(len, body))), *body)
+    def _not_read(self, order: Order | None) -> tuple[int, list[bytes]]:
+        if order is not None:
+            order.reason = NOT_READ
+        return FAILED, []
+
+    def _gone(self, order: Order | None, reason: int = CLIENT_GONE) -> None:
+        """Its answer goes nowhere any more."""
+        if order is not None:
+            order.reason = reason
+            self.house.answer_over(order)
 
     def drained(self) -> None:
         """Room again. Danger: what waited past its expiry must not leave as served."""
+        self._written()
         while self.waiting:
-            stream, code, body, until = self.waiting[0]
-            late = self.house.now >= until
-            if not self._put(stream, FAILED if late else code, [] if late else body):
+            stream, code, body, until, order = self.waiting[0]
+            if self.house.now >= until:
+                code, body = self._not_read(order)
+            if not self._put(stream, code, body, order):
                 return
             self._drop()
 
+    def _written(self) -> None:
+        while self.unwritten and self.unwritten[0][0] <= self.link.sent:
+            self.house.answer_over(self.unwritten.popleft()[1])
+
     def _drop(self) -> None:
         self.house.results.give(sum(map(len, self.waiting.popleft()[2])))
 
     def ended(self, why: str) -> None:
-        self.house.counters["connections ended"] += 1
         self.house.callers.pop(self, None)
+        self.house.ledger.connection_over(CLIENT, self.link.got, self.link.sent)
+        self._written()
+        while self.unwritten:
+            self._gone(self.unwritten.popleft()[1], CUT_OFF)
         while self.waiting:
+            self._gone(self.waiting[0][4])
             self._drop()
         for sub in [*self.open.values()]:
-            self.house.left(sub)
+            self.house.left(sub, CLIENT_GONE)
         self.open.clear()
 
 
--- a/corkgauge/net/engines.py
+++ b/corkgauge/net/engines.py
@@ -9,6 +9,7 @@
 from collections import deque
 from typing import Any
 
+from corkgauge.figures.terms import ENGINE
 from corkgauge.interface import ERROR, FULL, MOOT, READY, RESET, TIMED_OUT, UNREACHED, Engine, HandOff
 from corkgauge.net.clients import Order
 from corkgauge.net.engine_wire import EngineWire, command
@@ -49,13 +50,14 @@
     """A hand-off under way: how far it has come, and its pages."""
 
     __slots__ = ("handoff", "order", "until", "station", "link", "begin", "end", "answered", "pages", "asked",
-                 "spent", "need", "load", "told")
+                 "spent", "need", "load", "told", "engine_row", "serial")
 
     def __init__(self, handoff: HandOff, until: int, station: "Station") -> None:
         self.handoff, self.order, self.until, self.station = handoff, handoff.submission.tag, until, station
         self.link: EngineLink | None = None
         self.begin = self.end = self.spent = self.asked = self.told = 0
         self.need, self.load, self.answered = 0.0, -1.0, False
+        self.engine_row, self.serial = station.row, 0   # its engine's account; there, below 0 once it is over
         self.pages: list[bytes | None] = []
 
     def stage(self) -> int:
@@ -73,7 +75,8 @@
         self.station, self.house = station, station.house
         self.open: dict[str, Errand] = {}
         self.past: dict[str, None] = {}     # done with, an answer or a copy of one may still come
-        self.retired = False
+        self.retired, self.pages = False, 0
+        self.house.ledger.connection_up(ENGINE)
         self.alive, self.asked = 0, NEVER   # signs asked for; when, while none has come
         self.spoke = self.lively = self.house.now   # its last answer; since when none was long in coming
         self.link = Link(self.house.hub, sock, EngineWire(self, self.house.lines), self, MID_ANSWER)
@@ -106,6 +109,11 @@
             house.hub.later(house.patience, house.untold, errand, self)
         return True
 
+    def page(self) -> None:
+        """A page of a result has come, for the first time."""
+        self.pages += 1
+        self.station.row.pages += 1
+
     def say(self, *parts: str) -> None:
         if not self.link.send(command(*parts)):
             self.link.end("no room for a command")
@@ -164,6 +172,7 @@
     def ended(self, why: str) -> None:
         station = self.station
         station.links.remove(self)
+        self.house.ledger.connection_over(ENGINE, self.link.got, self.link.sent, self.pages)
         errands, self.open = [*self.open.values()], {}
         if errands:
             self.house.log(f"link {station.engine.tag} ended: {why}; {len(errands)} out")
@@ -183,6 +192,7 @@
 
     def __init__(self, house: Any, engine: Engine) -> None:
         self.house, self.engine, self.address = house, engine, ("", 0)
+        self.row = house.ledger.engine(engine.name)     # its account
         self.links: list[EngineLink] = []
         self.waiting: deque[Errand] = deque()
         self.dialling, self.spare_from = False, 0
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -11,6 +11,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from corkgauge.figures.auditor import Auditor
+from corkgauge.figures.finding import Findings
+from corkgauge.figures.ledger import Ledger
+from corkgauge.figures.terms import CLIENT, reason_of, sort_of
 from corkgauge.interface import (CALLED_OFF, DRAINING, GONE, HONOURED, LABELLED, MOOT, READY, Engine, HandOff,
                                  Submission)
 from corkgauge.net import client_wire
@@ -22,6 +26,7 @@
 from corkgauge.net.engines import ENDS, NAME, EngineLink, Errand, Station, outcome_of
 from corkgauge.net.hub import SECOND, Hub
 from corkgauge.net.link import NEVER
+from corkgauge.net.records import Records
 from corkgauge.net.ring import Allowance
 from corkgauge.net.statement import tables_of
 from corkgauge.stated import Stated
@@ -38,6 +43,7 @@
 # Clients write submissions of one key so far apart, and so long after one that came on a new connection.
 APART, APART_NEW, ARRIVAL = 600, 2_500, 100
 LEAST_ROOM = 4 * 2 ** 20
+AUDIT_EACH, AUDIT_PAUSE = SECOND, 20    # between two passes over the books; between two slices of one
 PLAIN = re.compile(r"[!-+\-.-<>-~]{1,128}").fullmatch
 KEY = re.compile(r"[0-9a-fA-F]{1,16}").fullmatch
 BLANK = re.compile(rb"\s*+").fullmatch
@@ -86,6 +92,13 @@
         self.most_memory = max(self.stated.sizes, default=1e6)
         self.patience = UNTOLD * self.stated.tells
         self.offerings = {each.name: each for each in self.stated.offerings}
+        self.findings = Findings(lambda: hub.now, log)
+        self.ledger = Ledger(self.offerings, lambda: hub.now, self.stated.budget, self.miscounted)
+        self.rows = {each: self.ledger.offerings[each.name] for each in self.stated.offerings}
+        self.answering: dict[Order, None] = {}      # have their end, and their answer has not left whole
+        self.called: dict[HandOff, Errand] = {}     # called off, and the gateway has yet to hear of it
+        self.records = Records(self)
+        self.auditor = Auditor(self.ledger, self.records, self.findings)
         self.tenants = {name: n for n, name in enumerate(self.stated.tenants)}
         self.last_event = post.known
         for event in post.events:
@@ -97,6 +110,7 @@
         tag = station.engine.tag
         if station.engine.state == GONE and not station.links and self.stations.get(tag) is station:
             del self.stations[tag]
+            self.ledger.engine_gone(station.row)
 
     def links_each(self) -> int:
         """Danger: with fewer links than hand-offs fill, an engine that is well would count as unreached."""
@@ -115,6 +129,9 @@
     def hand_off(self, handoff: HandOff, allow: int) -> None:
         station = self.stations[handoff.engine.tag]
         errand = self.errands[handoff] = Errand(handoff, self.now + allow, station)
+        others = any(each.out for each in handoff.submission.handoffs[:-1])
+        errand.serial = self.ledger.handed_off(errand.order.row, errand.engine_row,
+                                               sort_of(handoff.number, others))
         self.hub.later(allow, self.too_late, errand)
         station.waiting.append(errand)
         station.fill()
@@ -145,7 +162,7 @@
         else:
             errand.link.say("abort", errand.order.name)
             errand.link.forget(errand)
-        del self.errands[handoff]
+        self.called[handoff] = self.errands.pop(handoff)
         self.hub.later(0, self.over, errand, CALLED_OFF if errand.link else MOOT)
 
     def wake(self, delay: int, method: Callable[..., None], *what: Any) -> None:
@@ -167,7 +184,7 @@
     def accepted(self, sock: Any) -> None:
         caller = Caller(self, sock)
         self.callers[caller] = None
-        self.counters["connections"] += 1
+        self.ledger.connection_up(CLIENT)
         self.hub.spawn(caller.link.run)
         if self.end != NEVER:
             caller.link.send(client_wire.leaving())
@@ -198,7 +215,6 @@
 
     def requested(self, caller: Caller, stream: int, fields: dict[str, str], body: bytes) -> str:
         # Danger: what it says is a stranger's; nothing of it may raise.
-        self.counters["taken"] += 1
         self.forget()
         offering = self.offerings.get(fields.get("route", ""))
         tenant = self.tenants.get(fields.get("customer", ""))
@@ -222,6 +238,7 @@
                 not self.statements.take(order.size)):
             self.counters["overfull"] += 1
             caller.faults += len(caller.open) >= MOST_OPEN
+            self.ledger.turned_away(self.rows[offering])
             caller.answer(stream, REFUSED, [])
             return "" if caller.faults <= MOST_FAULTS else "too many open at once"
         life = min(int(life * 10), self.end - self.now)
@@ -230,6 +247,7 @@
         sub = Submission(order, offering, tenant or 0, tables_of(body), self.now, life, int(work * 10),
                          float(memory), key)
         caller.open[stream] = self.names[name] = sub
+        self.ledger.taken(self.rows[offering], order)
         caller.fresh.append(sub)
         if len(caller.fresh) == 1:
             self.hub.unsent.append(caller.admit)
@@ -252,13 +270,22 @@
             del self.keys[next(iter(self.keys))]
         return held
 
-    def final(self, submission: Submission, code: int, body: list[bytes]) -> None:
+    def final(self, submission: Submission, code: int, body: list[bytes], reason: int = -1) -> None:
         order = submission.tag
         if order.caller.open.pop(order.stream, None) is not None:
             self.statements.give(order.size)
             self.names.pop(order.name, None)
             self.ended.append(submission)
-            order.caller.answer(order.stream, code, body, submission.taken + submission.life)
+            if reason < 0:
+                reason = reason_of(code, submission, self.now, self.gateway.margin)
+            order.reason = reason
+            self.answering[order] = None
+            order.caller.answer(order.stream, code, body, submission.taken + submission.life, order)
+
+    def answer_over(self, order: Order) -> None:
+        """The last byte of its answer has left, or never will."""
+        self.answering.pop(order, None)
+        self.ledger.closed(order, order.reason)
 
     def forget(self) -> None:
         """Danger: a full collection of garbage stops all for over 100 ms. So there is none: what points to
@@ -270,9 +297,10 @@
                     handoff.submission = None
                 sub.tag.statement = b""
 
-    def left(self, submission: Submission | None) -> None:
+    def left(self, submission: Submission | None, reason: int) -> None:
         """Its client waits no longer."""
         if submission is not None:
+            self.ledger.closed(submission.tag, reason)
             self.statements.give(submission.tag.size)
             self.names.pop(submission.tag.name, None)
             if submission in submission.tag.caller.fresh:
@@ -281,6 +309,16 @@
                 self.gateway.submission_left(submission)
             self.ended.append(submission)
 
+    # Figures.
+
+    def audit(self) -> None:
+        """The next slice of a pass; a new pass each second."""
+        self.hub.later(AUDIT_EACH if self.auditor.step() else AUDIT_PAUSE, self.audit)
+
+    def miscounted(self, kind: str, row: Any, serial: int) -> None:
+        """A count that was wrong as it was entered."""
+        self.findings.count(kind, row.name, f"serial {serial}", self.ledger.last_events(row, serial))
+
     # Hand-offs.
 
     def answered(self, errand: Errand, word: str, fields: dict[str, str], body: bytes) -> str:
@@ -302,6 +340,7 @@
             if not page(body):
                 return "a page that is spoilt"
             errand.answered = True
+            errand.link.page()
             errand.spent, errand.need = int(spent * 10), need
             errand.pages = [body, *[None] * (int(pages) - 1)]
             if handoff.submission.over or len(errand.pages) == 1:
@@ -315,6 +354,8 @@
             if not errand.answered or not 0 < n < len(errand.pages) or not page(body) or (
                     errand.pages[n] not in (None, body)):
                 return f"a page {at[:8]!r} out of turn or spoilt"
+            if errand.pages[n] is None:
+                errand.link.page()
             errand.pages[n] = body
             return "" if None in errand.pages else self.whole(errand)
         outcome = ENDS.get(word)
@@ -384,7 +425,8 @@
             errand.asked = 0
         errand.pages = []
         bills = self.stated.bills and outcome == HONOURED
-        self.counters[f"outcome {outcome}"] += 1
+        self.called.pop(handoff, None)
+        errand.serial = self.ledger.handoff_over(errand.order.row, errand.engine_row, errand.serial, outcome)
         self.gateway.handoff_over(handoff, outcome, self.now - handoff.sent, handoff.submission.over or
                                   outcome == HONOURED, errand.spent if bills else 0,
                                   errand.need if bills else 0.0, errand.load)
--- a/corkgauge/net/link.py
+++ b/corkgauge/net/link.py
@@ -34,7 +34,7 @@
         self.hub, self.sock, self.machine, self.owner = hub, sock, machine, owner
         self.fd, self.why, self.stuck = sock.fileno(), "", stuck   # that one frame may take; 0: any time
         self.greets, self.parting, self.since = greets, False, hub.now
-        self.put, self.sent = 0, 0      # bytes, since it came up
+        self.put = self.sent = self.got = 0     # bytes, since it came up
         self.blocked = self.unsent = False  # the socket takes no more; a write is due at the end of this turn
         self.heard = hub.now
 
@@ -103,7 +103,7 @@
             if not size:
                 self.why = "closed"
                 return
-            self.heard = self.hub.now
+            self.heard, self.got = self.hub.now, self.got + size
             if not len(ring) and (self.machine.whole or not self.greets):
                 self.since = self.hub.now
             ring.filled(size)
@@ -161,7 +161,9 @@
         while self.parting and self.hub.now < until:
             try:
                 while len(ring):
-                    ring.drop(self.sock.send(ring.stretch()))
+                    size = self.sock.send(ring.stretch())
+                    self.sent += size
+                    ring.drop(size)
                 if not shut:
                     self.sock.shutdown(socket.SHUT_WR)
                     shut = True
--- a/corkgauge/net/program.py
+++ b/corkgauge/net/program.py
@@ -134,7 +134,7 @@
             hub.wait(woken.fileno(), READ)
             for sign in woken.recv(64):
                 if sign == signal.SIGUSR1:
-                    logger.info(f"counters {house.counters.line()} {hub.worst()}")
+                    logger.info(f"counters {house.counters.line(house.ledger.line())} {hub.worst()}")
                 else:   # as a timer: Danger: what either raises must not end this task
                     hub.later(0, *((feed.reload, os.environ) if sign == signal.SIGHUP else (house.leave,)))
 
@@ -152,8 +152,10 @@
     gc.freeze()
     gc.disable()
     hub.later(SECOND, collect)
+    hub.later(SECOND, house.audit)
     logger.info(f"serving as {post.name}, {len(house.stations)} engines, list {house.last_event}")
     hub.run()
-    logger.info(f"ended; counters {house.counters.line()} {hub.worst()}")
+    house.auditor.pass_whole()
+    logger.info(f"ended; counters {house.counters.line(house.ledger.line())} {hub.worst()}")
     return 0
 
--- a/corkgauge/stated.py
+++ b/corkgauge/stated.py
@@ -37,6 +37,10 @@
         self.dial_time = figure(limits, "dialTimeoutUs", 250_000, 1) // 100
         self.idle_time = figure(limits, "connIdleUs", 30_000_000, 1) // 100
         self.open_cap = figure(limits, "openCap", 20_000, 1)
+        span = figure(rules, "budgetSpanUs", 0) // 100
+        # The rule on further hand-offs, where one is stated: floor, share of what was taken, window.
+        self.budget = (figure(rules, "extraFloor", 0.0), figure(rules, "extraPerRequest", 0.0),
+                       span) if span else None
         self.gateway = Gateway(
             host, seed=seed, number=figure(said, "myNumber", 0), gateways=figure(said, "instances", 1, 1),
             tick=-(-figure(said, "periodUs", 1000) // 100), offerings=self.offerings,
