--- /dev/null
+++ b/corkgauge/standins/chance.py
@@ -0,0 +1,42 @@
+"""Seeded draws for the stand-ins. Owns one counter; the same seed and order of draws give the same figures."""
+
+from math import exp, log
+from struct import pack
+from zlib import crc32
+
+
+class Chance:
+    """Draws by CRC-32 over seed and counter.
+
+    >>> one, other = Chance(7), Chance(7)
+    >>> [one.below(10) for _ in range(5)] == [other.below(10) for _ in range(5)], Chance(8).part() < 1
+    (True, True)
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.seed, self.drawn = seed, 0
+
+    def part(self) -> float:
+        """0 or more, below 1."""
+        self.drawn += 1
+        return crc32(pack("<QQ", self.seed, self.drawn)) / 2 ** 32
+
+    def below(self, most: int) -> int:
+        return int(self.part() * most)
+
+    def within(self, share: float) -> bool:
+        return self.part() < share
+
+    def wait(self, mean: float) -> float:
+        """An exponential gap."""
+        return -mean * log(1 - self.part())
+
+    def spread(self, mean: float, width: float = 0.6) -> float:
+        """About log-normal with this mean: a sum of twelve draws stands for the normal one."""
+        bell = sum(self.part() for _ in range(12)) - 6
+        return mean * exp(width * bell - width * width / 2)
+
+    def word(self) -> str:
+        """16 hexadecimal digits."""
+        self.drawn += 1
+        return f"{crc32(pack('<QQ', self.seed, self.drawn)):08x}{self.drawn & 0xffffffff:08x}"
--- /dev/null
+++ b/corkgauge/standins/clients.py
@@ -0,0 +1,157 @@
+"""Clients on loopback: each asks at its own pace over one connection, and keeps a book of what it was told.
+
+Owns what was asked and every answer to it, in the client's own times. Must never ask again for what was
+answered: what the gateway does with one submission is what is looked at.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from corkgauge.net.client_wire import SERVED
+from corkgauge.net.hub import SECOND, Hub
+from corkgauge.net.link import dial
+from corkgauge.standins.chance import Chance
+from corkgauge.standins.listener import linked
+from corkgauge.standins.machines import ClientSide, ready_question, request, withdrawal
+
+PAUSE = 500             # between two dials
+KEY_APART = 3_000       # between two submissions of one key
+MOST_OPEN = 30
+
+
+@dataclass(frozen=True)
+class Want:
+    """What clients ask for: an offering's name, its share of all, patience in ms, estimate of work in ms."""
+
+    offering: str
+    share: float
+    patience: int
+    work: float
+    labelled: bool = False
+    ordered: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Ask:
+    """One submission, as its client saw it. Times are tenths of a millisecond."""
+
+    trace: str
+    want: Want
+    key: str
+    sent: int
+    end: int                    # where its last byte is among what the connection wrote
+    stream: int
+    answers: list[tuple[int, int, bytes]] = field(default_factory=list)
+    excused: str = ""           # why no answer is owed
+
+
+class ClientStandIn:
+    """One client. `rate` is submissions a second; `gives_up` the share it takes back, `hangs_up` the share at
+    which it closes its connection instead."""
+
+    def __init__(self, hub: Hub, address: tuple[str, int], wants: list[Want], tenant: str, rate: float, seed: int,
+                 gives_up: float = 0.0, hangs_up: float = 0.0) -> None:
+        self.hub, self.address, self.wants, self.tenant, self.rate = hub, address, wants, tenant, rate
+        self.gives_up, self.hangs_up, self.chance = gives_up, hangs_up, Chance(seed)
+        self.book = list[Ask]()
+        self.open: dict[int, Ask] = {}
+        self.link: Any = None
+        self.stream, self.is_ready, self.stopped = 0, False, False
+        self.keys = {f"{seed & 0xffff:04x}{n:02x}": 0 for n in range(1, 5)}
+        hub.spawn(self.run)
+        hub.later(int(self.chance.wait(SECOND / rate)), self.ask)
+
+    def run(self) -> None:
+        """The task that keeps it connected."""
+        while not self.stopped:
+            sock, _ = dial(self.hub, self.address, SECOND)
+            if sock is not None:
+                self.stream, self.is_ready = 0, False
+                self.link = linked(self.hub, sock, ClientSide(self), self)
+                self.link.send(ready_question())
+                self.link.run()
+            if not self.stopped:
+                self.hub.sleep(PAUSE)
+
+    def ask(self) -> None:
+        if self.stopped:
+            return
+        self.hub.later(max(int(self.chance.wait(SECOND / self.rate)), 1), self.ask)
+        link, now = self.link, self.hub.now
+        draw, want = self.chance.part(), self.wants[-1]
+        for want in self.wants:
+            if draw < want.share:
+                break
+            draw -= want.share
+        if link is None or link.why or not self.is_ready or len(self.open) >= MOST_OPEN:
+            return
+        key = next((key for key, last in self.keys.items() if now > last + KEY_APART), "") if want.ordered else ""
+        if want.ordered and not key:
+            return
+        self.stream += 1
+        fields = {"route": want.offering, "trace": self.chance.word(), "patience": str(want.patience),
+                  "customer": self.tenant, "weight": f"{want.work:.1f}", "est_mb": "8"}
+        if want.labelled:
+            fields["nonce"] = self.chance.word() * 2
+        if key:
+            fields["entity"], self.keys[key] = key, now
+        body = b"select * from mart_%d.facts" % self.chance.below(40)
+        if link.send(request(self.stream, fields, body)):
+            ask = Ask(fields["trace"], want, key, now, link.put, self.stream)
+            self.book.append(ask)
+            self.open[self.stream] = ask
+            if self.chance.within(self.gives_up):
+                self.hub.later(int(self.chance.wait(200)), self.give_up, ask)
+            elif self.chance.within(self.hangs_up):
+                self.hub.later(int(self.chance.wait(300)), self.hang_up, link)
+
+    def give_up(self, ask: Ask) -> None:
+        if not ask.answers and self.open.get(ask.stream) is ask:
+            ask.excused = "withdrawn"
+            self.link.send(withdrawal(ask.stream))
+
+    def hang_up(self, link: Any) -> None:
+        """Danger to be caused: it goes between an answer's first byte and its last, or before any."""
+        for ask in self.open.values():
+            ask.excused = ask.excused or "hung up"
+        link.end("hangs up")
+
+    # What the machine hears.
+
+    def answered(self, stream: int, code: int, body: bytes) -> None:
+        ask = self.open.get(stream)
+        if ask is None:
+            ask = next((each for each in reversed(self.book) if each.stream == stream), None)
+        if ask is not None:
+            ask.answers.append((self.hub.now, code, body))
+            self.open.pop(stream, None)
+
+    def ready(self, code: int) -> None:
+        self.is_ready = code == 1
+
+    def leaving(self) -> None:
+        self.is_ready = False
+
+    def drained(self) -> None:
+        pass
+
+    def ended(self, why: str) -> None:
+        """What was not written whole was never taken."""
+        for ask in self.open.values():
+            if ask.end > self.link.sent:
+                ask.excused = ask.excused or "not written"
+        self.open.clear()
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.link is not None:
+            self.link.end("done")
+
+    def tally(self) -> dict[str, int]:
+        """How its submissions ended: by code of the first answer, excused, unanswered."""
+        said = {"asked": len(self.book), "served": 0, "refused": 0, "failed": 0, "excused": 0, "none": 0}
+        for ask in self.book:
+            code = ask.answers[0][1] if ask.answers else 0
+            name = {SERVED: "served", 2: "refused", 3: "failed"}.get(code, "excused" if ask.excused else "none")
+            said[name] += 1
+        return said
--- /dev/null
+++ b/corkgauge/standins/feed.py
@@ -0,0 +1,71 @@
+"""The control feed on loopback: numbered events, told to whoever asks, and when each was told.
+
+Owns the list as the script makes it. A comment goes each second, as the platform's feed does it.
+"""
+
+import json
+from typing import Any
+
+from corkgauge.net.hub import SECOND, Hub
+from corkgauge.standins.listener import Listener, linked
+from corkgauge.standins.machines import FeedDoor
+
+
+class Reader:
+    """A gateway that reads the feed."""
+
+    def __init__(self, feed: "FeedStandIn", sock: Any) -> None:
+        self.feed, self.last = feed, -1
+        self.link = linked(feed.hub, sock, FeedDoor(self), self)
+
+    def asked(self, last: int) -> None:
+        self.link.send(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+        self.last = last
+        self.tell()
+
+    def tell(self) -> None:
+        if self.last >= 0:
+            for event in self.feed.events:
+                if event["n"] > self.last:
+                    self.last = event["n"]
+                    self.link.send(b"id: %d\ndata: %s\n\n" % (self.last, json.dumps(event).encode()))
+
+    def drained(self) -> None:
+        pass
+
+    def ended(self, why: str) -> None:
+        self.feed.listener.left(self)
+
+
+class FeedStandIn:
+    """`changes` holds when each state of an engine was told: (when, engine, state, started in ms)."""
+
+    def __init__(self, hub: Hub) -> None:
+        self.hub, self.version = hub, 0
+        self.events: list[dict[str, Any]] = []
+        self.changes: list[tuple[int, str, str, int]] = []
+        self.listener = Listener(hub, lambda sock: Reader(self, sock))
+        hub.later(SECOND, self.comment)
+
+    @property
+    def address(self) -> str:
+        return "%s:%d" % self.listener.address
+
+    def told(self, engines: list[Any], state: str = "SERVING", full: bool = False) -> dict[str, Any]:
+        """Engines in a state; the event."""
+        self.version += 1
+        servers = [{"id": each.name, "addr": each.address, "zone": each.hall, "kind": each.kind, "cell": 0,
+                    "state": state, "weight": 1, "started_ms": each.started_ms} for each in engines]
+        event = {"n": self.version, "members": {"version": self.version, "full": full, "servers": servers}}
+        self.events.append(event)
+        for each in engines:
+            self.changes.append((self.hub.now, each.name, state, each.started_ms))
+        for reader in self.listener.guests:
+            reader.tell()
+        return event
+
+    def comment(self) -> None:
+        for reader in self.listener.guests:
+            if reader.last >= 0:
+                reader.link.send(b": \n\n")
+        self.hub.later(SECOND, self.comment)
--- /dev/null
+++ b/corkgauge/standins/listener.py
@@ -0,0 +1,69 @@
+"""A listener of a stand-in on loopback, and what it has open.
+
+Owns the listening socket and its connections. Must never listen anywhere but on 127.0.0.0/8.
+"""
+
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any
+
+from corkgauge.net.hub import READ, Hub
+from corkgauge.net.link import Link
+
+ABORTED = struct.pack("ii", 1, 0)
+
+
+class Listener:
+    """`guest(sock)` makes an owner with a `link` for each connection that comes."""
+
+    def __init__(self, hub: Hub, guest: Callable[[Any], Any], address: tuple[str, int] = ("127.0.0.1", 0)) -> None:
+        self.hub, self.guest, self.address = hub, guest, address
+        self.guests: dict[Any, None] = {}
+        self.sock: socket.socket | None = None
+        self.open()
+
+    def open(self) -> None:
+        """Listen, at the same address as before."""
+        if self.sock is None:
+            self.sock = socket.socket()
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.sock.bind(self.address)
+            self.sock.listen(512)
+            self.sock.setblocking(False)
+            self.address = self.sock.getsockname()
+            self.hub.spawn(self._accept, self.sock)
+
+    def close(self, abort: bool = False) -> None:
+        """Refuse new connections; end those that are there."""
+        if self.sock is not None:
+            sock, self.sock = self.sock, None
+            self.hub.wake(sock.fileno())
+        self.drop(abort)
+
+    def drop(self, abort: bool = False) -> None:
+        """End what is open: closed, or reset."""
+        for guest in [*self.guests]:
+            if abort:
+                guest.link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORTED)
+            guest.link.end("dropped")
+
+    def left(self, guest: Any) -> None:
+        self.guests.pop(guest, None)
+
+    def _accept(self, sock: socket.socket) -> None:
+        while self.sock is sock:
+            self.hub.wait(sock.fileno(), READ)
+            while self.sock is sock:
+                try:
+                    found, _ = sock.accept()
+                except OSError:
+                    break
+                guest = self.guest(found)
+                self.guests[guest] = None
+                self.hub.spawn(guest.link.run)
+        sock.close()
+
+
+def linked(hub: Hub, sock: Any, machine: Any, owner: Any) -> Link:
+    return Link(hub, sock, machine, owner)
--- /dev/null
+++ b/corkgauge/standins/machines.py
@@ -0,0 +1,113 @@
+"""The other ends of the platform's protocols, as machines fed with bytes: an engine's, a feed's, a client's.
+
+Owns framing only. Fed from a ring; knows no socket and no clock. What does not parse ends its connection.
+"""
+
+from typing import Any
+
+from corkgauge.net.client_wire import ANSWER, HEADER, LEAVING, READY, READY_ASKED, REQUEST, STREAM, WITHDRAWN
+from corkgauge.net.engine_wire import array
+from corkgauge.net.ring import Allowance, Ring
+
+PLENTY = 64 * 2 ** 20
+
+
+class EngineDoor:
+    """Reads a gateway's commands and calls its owner: `commanded(parts)`."""
+
+    def __init__(self, owner: Any) -> None:
+        self.owner, self.whole = owner, 0
+        allowance = Allowance(PLENTY)
+        self.inward, self.outward = Ring(270_000, allowance), Ring(1_000_000, allowance)
+
+    def advance(self) -> str:
+        ring = self.inward
+        while len(ring):
+            data = ring.peek(len(ring))
+            end, parts, wrong = array(data, 0)
+            if wrong:
+                return wrong
+            if not end:
+                if not ring.free:
+                    ring.reserve(2 * len(ring))
+                return ""
+            ring.drop(end)
+            self.whole += 1
+            self.owner.commanded([part.decode(errors="replace") for part in parts])
+        return ""
+
+
+class FeedDoor:
+    """Reads a gateway's request for events and calls its owner: `asked(last event)`."""
+
+    def __init__(self, owner: Any) -> None:
+        self.owner, self.whole = owner, 0
+        allowance = Allowance(PLENTY)
+        self.inward, self.outward = Ring(16_384, allowance), Ring(4_000_000, allowance)
+
+    def advance(self) -> str:
+        data = self.inward.peek(len(self.inward))
+        end = data.find(b"\r\n\r\n")
+        if end < 0:
+            return "" if self.inward.free else "a head that is too long"
+        self.inward.drop(len(data))
+        self.whole += 1
+        last = 0
+        for line in data[:end].split(b"\r\n")[1:]:
+            name, _, value = line.partition(b":")
+            if name.lower() == b"last-event-id" and value.strip().isdigit():
+                last = int(value)
+        self.owner.asked(last)
+        return ""
+
+
+class ClientSide:
+    """Reads a gateway's frames and calls its owner: `answered(stream, code, body)`, `ready(code)`, `leaving()`."""
+
+    def __init__(self, owner: Any) -> None:
+        self.owner, self.whole = owner, 0
+        allowance = Allowance(PLENTY)
+        self.inward, self.outward = Ring(300_000, allowance), Ring(300_000, allowance)
+
+    def advance(self) -> str:
+        ring = self.inward
+        while len(ring) >= 4:
+            length = int.from_bytes(ring.peek(4), "little")
+            if not 5 <= length <= 262_144:
+                return f"a frame of length {length}"
+            if len(ring) < length + 4:
+                if not ring.free:
+                    ring.reserve(min(length + 4, 2 * len(ring)))
+                return ""
+            kind, stream = STREAM.unpack(ring.peek(5, 4))
+            payload = ring.take(length + 4)[9:]
+            self.whole += 1
+            if kind == ANSWER and len(payload) >= 2:
+                self.owner.answered(stream, payload[0], payload[2:])
+            elif kind == READY and payload:
+                self.owner.ready(payload[0])
+            elif kind == LEAVING:
+                self.owner.leaving()
+            else:
+                return f"a frame of type {kind}"
+        return ""
+
+
+def request(stream: int, fields: dict[str, str], body: bytes) -> bytes:
+    """A request's frame.
+
+    >>> request(1, {"route": "a"}, b"x").hex()
+    '1000000002010000000105726f75746501006178'
+    """
+    said = bytearray([len(fields)])
+    for name, value in fields.items():
+        said += bytes([len(name)]) + name.encode() + len(value.encode()).to_bytes(2, "little") + value.encode()
+    return HEADER.pack(5 + len(said) + len(body), REQUEST, stream) + bytes(said) + body
+
+
+def withdrawal(stream: int) -> bytes:
+    return HEADER.pack(5, WITHDRAWN, stream)
+
+
+def ready_question() -> bytes:
+    return HEADER.pack(5, READY_ASKED, 0)
