--- a/corkgauge/commands/figures.py
+++ b/corkgauge/commands/figures.py
@@ -31,8 +31,10 @@
 @click.argument("where", nargs=-1, required=True)
 @click.option("--watch", type=float, default=0.0, metavar="SECONDS", help="Again and again, so far apart.")
 @click.option("--json", "as_json", is_flag=True, help="The cut as JSON, for programs.")
-@click.option("--record", type=click.Path(dir_okay=False), help="Add each cut as a line to this file, for `audit`.")
-@click.option("--clear", is_flag=True, help="Clear the findings that were held so far: an operator has seen them.")
+@click.option("--record", type=click.Path(dir_okay=False),
+              help="Add each cut as a line to this file, for `audit`.")
+@click.option("--clear", is_flag=True,
+              help="Clear the findings that were held so far: an operator has seen them.")
 def command(where: tuple[str, ...], watch: float, as_json: bool, record: str | None, clear: bool) -> None:
     """Figures of one or several gateways, summed.
 
--- /dev/null
+++ b/corkgauge/commands/soak.py
@@ -0,0 +1,117 @@
+"""`corkgauge soak`."""
+
+import json
+import resource
+from pathlib import Path
+
+import click
+
+from corkgauge.commands import FOUND, Faulted
+
+# What befalls the engines, again and again: a round of it lasts so many seconds.
+ROUND = 30
+SCRIPT = """
+at 2 for 2: e1 silent
+at 3 for 3: e2 slow 6
+at 5 for 1: e3 error 0.5
+at 7 for 2: e4 restart
+at 9 for 2: e1 garble 0.1
+at 10 for 1: e2 twice 0.5
+at 11: program reload
+at 12 for 1: e1 midway 0.3
+at 13 for 2: list drain e3
+at 16: program kill
+at 18 for 1: e2 lost 0.3
+at 19 for 2: e4 full 0.7
+at 21: e1 reset
+at 22 for 1: e2 refuse
+at 24: program restart
+at 26 for 2: all slow 2
+"""
+GROWTH = 4 * 2 ** 20    # bytes that a flat program may gain from the first third of an epoch to its last
+
+
+def scenes_of(text: str, seconds: float, engines: list[str]) -> list:
+    """A script's scenes, again each round."""
+    from corkgauge.net.hub import SECOND
+    from corkgauge.standins.script import Scene, read
+    once = read(text, engines)
+    return [Scene(scene.at + n * ROUND * SECOND, scene.span, scene.who, scene.trouble, scene.figure,
+                  scene.whom)
+            for n in range(int(seconds // ROUND) + 1) for scene in once
+            if scene.at + n * ROUND * SECOND < seconds * SECOND]
+
+
+@click.command("soak")
+@click.option("--seconds", type=click.FloatRange(1, 86_400), default=120.0, show_default=True)
+@click.option("--rate", type=click.FloatRange(1, 2000), default=150.0, show_default=True,
+              help="Submissions a second.")
+@click.option("--scrapes", type=click.FloatRange(0, 50), default=10.0, show_default=True,
+              help="Scrapes a second; each must balance.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--script", type=click.Path(exists=True, dir_okay=False),
+              help="Troubles to play in place of the usual round.")
+@click.option("--json", "as_json", is_flag=True, help="The result as JSON, for programs.")
+def command(seconds: float, rate: float, scrapes: float, seed: int, script: str | None,
+            as_json: bool) -> None:
+    """Play a long day of troubles on loopback, and check every scrape and every rule.
+
+    The engines fall silent, slow down, restart, spoil answers; the program is killed,
+    restarted and told to read
+    its files again. A script's lines are `at SECOND [for SECONDS]: WHO TROUBLE [FIGURE]`.
+
+    \b
+    corkgauge soak --seconds 600 --rate 300
+    Ends with 1 if a scrape does not balance, a rule breaks, or memory grows.
+    """
+    from corkgauge.standins import rules
+    from corkgauge.standins.play import Play
+    from corkgauge.standins.script import Unplayable
+
+    engines = [f"e{n}" for n in range(1, 5)]
+    try:
+        scenes = scenes_of(Path(script).read_text() if script else SCRIPT, seconds, engines)
+    except Unplayable as problem:
+        raise Faulted(f"{script}: {problem}") from None
+
+    def seen(cut: dict) -> None:
+        if not as_json and play.scraped % 100 == 0:
+            taken = sum(row["taken"] for row in cut["offerings"].values())
+            click.echo(f"{(play.hub.now - begun) / 10_000:7.1f} s  epoch {cut['epoch']['id']}  taken {taken:8}  "
+                       f"scrapes {play.scraped}, wrong {len(play.wrong)}", err=True)
+
+    play = Play(seed, scenes, rate=rate, scrapes=scrapes, seen=seen)
+    begun = play.hub.now
+    try:
+        play.run(seconds)
+        log, epochs = play.program.log(), _epochs(play)
+    finally:
+        play.close()
+    broken, grown = play.broken(), growth(play.memory)
+    said = {"clients": play.tally(), "scrapes": play.scraped, "missed": play.scraper.missed if scrapes else 0,
+            "wrong": play.wrong[:20], "broken": rules.worth_saying(broken), "epochs_closed": epochs,
+            "memory_growth": grown, "memory": play.memory[-1] if play.memory else 0,
+            "exceptions": sum("exceptions stopped" in line for line in log),
+            "processor_seconds": resource.getrusage(resource.RUSAGE_CHILDREN).ru_utime}
+    if as_json:
+        print(json.dumps(said))
+    else:
+        for name, value in said.items():
+            click.echo(f"{name:18} {value}")
+    raise SystemExit(FOUND if play.wrong or broken or grown > GROWTH or said["exceptions"] else 0)
+
+
+def _epochs(play: object) -> int:
+    """Epochs that a later start closed, as the program logged them."""
+    return sum("figures: epoch" in line and "closed" in line for line in play.program.log())
+
+
+def growth(memory: list[int]) -> int:
+    """Bytes by which the last epoch's last third lies above its first one, by their medians. A start anew shows
+    as a fall by a third."""
+    begins = [n for n in range(1, len(memory)) if memory[n] < 0.9 * memory[n - 1]]
+    last = memory[begins[-1] if begins else 0:]
+    third = len(last) // 3
+    if third < 10:
+        return 0
+    return sorted(last[-third:])[third // 2] - sorted(last[:third])[third // 2]
--- a/corkgauge/commands/tables.py
+++ b/corkgauge/commands/tables.py
@@ -31,7 +31,8 @@
     for name, row in rows[:most]:
         if any(row[sort] for sort in SORTS):
             table.add_row(name, *(str(row[sort]) for sort in SORTS),
-                          *(str(count or "") for count in row["outcomes"].values()), str(row["out"]), str(row["pages"]))
+                          *(str(count or "") for count in row["outcomes"].values()), str(row["out"]),
+                          str(row["pages"]))
     return table
 
 
--- a/corkgauge/figures/bureau.py
+++ b/corkgauge/figures/bureau.py
@@ -79,7 +79,8 @@
         from corkgauge.figures.door import Readers
         house = self.house
         try:
-            self.door = Readers(house.hub, said.listen, said.readers, self.cut, house.findings.clear, house.log)
+            self.door = Readers(house.hub, said.listen, said.readers, self.cut, house.findings.clear,
+                                house.log)
         except OSError as problem:
             raise Faulty(f"figures listen: {said.listen}: {problem.strerror or problem}") from None
 
--- a/corkgauge/figures/cut.py
+++ b/corkgauge/figures/cut.py
@@ -8,7 +8,7 @@
 reader does not know are to be passed over.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 from corkgauge.figures.finding import Findings
@@ -17,6 +17,27 @@
 
 SCHEMA = 1
 Cut = dict[str, Any]
+Flat = tuple[list[int], list[int], int, int]    # of one engine: sorts, outcomes, out, pages
+
+
+class EngineRows(Mapping[str, dict[str, Any]]):
+    """The rows of all engines as they were in one moment. Danger: a fleet's rows by name take milliseconds to
+    make, and the cut must be one step; so it holds copies of the bare counts,
+    and names them as they are read."""
+
+    def __init__(self, flat: dict[str, Flat]) -> None:
+        self.flat = flat
+
+    def __getitem__(self, name: str) -> dict[str, Any]:
+        sorts, outcomes, out, pages = self.flat[name]
+        return {**dict(zip(SORTS, sorts)), "outcomes": dict(zip(OUTCOMES, outcomes)), "out": out,
+                "pages": pages}
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self.flat)
+
+    def __len__(self) -> int:
+        return len(self.flat)
 
 
 def cut_of(ledger: Ledger, now: int, gateway: str, epoch: Mapping[str, Any]) -> Cut:
@@ -26,8 +47,8 @@
         "offerings": {name: {
             **dict(zip(TERMS, row.terms)), "open": row.open, "reasons": dict(zip(REASON_NAMES, row.reasons)),
             **dict(zip(SORTS, row.sorts)), "out": row.out} for name, row in ledger.offerings.items()},
-        "engines": {name: {**dict(zip(SORTS, row.sorts)), "outcomes": dict(zip(OUTCOMES, row.outcomes)),
-                           "out": row.out, "pages": row.pages} for name, row in _engines(ledger).items()},
+        "engines": EngineRows({name: (row.sorts.copy(), row.outcomes.copy(), row.out, row.pages)
+                               for name, row in _engines(ledger).items()}),
         "connections": {row.name: {"up": row.up, "ended": row.ended, "received": row.got, "sent": row.sent,
                                    "pages": row.pages} for row in ledger.sides},
     }
@@ -69,8 +90,8 @@
     for name, row in cut["offerings"].items():
         total = sum(row[term] for term in ("served", "refused", "failed", "open"))
         if total != row["taken"]:
-            found.append(f"{name}: taken {row['taken']}, served {row['served']} + refused {row['refused']} + failed "
-                         f"{row['failed']} + open {row['open']} = {total}")
+            parts = " + ".join(f"{term} {row[term]}" for term in (*TERMS[1:], "open"))
+            found.append(f"{name}: taken {row['taken']}, {parts} = {total}")
         for n, term in enumerate(TERMS[1:], 1):
             reasons = sum(row["reasons"].get(reason, 0) for under, reason in REASONS if under == n)
             if reasons != row[term]:
@@ -85,7 +106,7 @@
         if by_offering != by_engine:
             found.append(f"{sort}: by offering {by_offering}, by engine {by_engine}")
     for finding in cut.get("audit", {}).get("findings", ()):
-        found.append(f"{finding['row']}: {finding['kind']} {finding['difference']:+d}, told by the program itself")
+        found.append(f"{finding['row']}: {finding['kind']} {finding['difference']:+d}, as the program says")
     return found
 
 
--- a/corkgauge/figures/door.py
+++ b/corkgauge/figures/door.py
@@ -11,7 +11,7 @@
 import os
 import socket
 import stat
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any
 
 import h11
@@ -95,11 +95,13 @@
             elif not isinstance(event, h11.Data):
                 return False
         status, kind, body = self._answer(asked.method, asked.target.partition(b"?")[0])
-        head = h11.Response(status_code=status, headers=[("Content-Type", kind), ("Transfer-Encoding", "chunked")])
+        head = h11.Response(
+            status_code=status, headers=[("Content-Type", kind), ("Transfer-Encoding", "chunked")])
         self._write(sock, reader.send(head) or b"")
         for piece in gathered(body):
             self._write(sock, reader.send(h11.Data(data=piece)) or b"")
-            self.hub.sleep(1)   # Danger: pieces in a row would hold up all that is served; they have their turn
+            # Danger: pieces in a row would hold up all that is served; they have their turn
+            self.hub.sleep(1)
         self._write(sock, reader.send(h11.EndOfMessage()) or b"")
         return reader.our_state is h11.DONE and reader.their_state is h11.DONE
 
@@ -152,17 +154,21 @@
     for key, value in cut.items():
         yield mark + json.dumps(key).encode() + b":"
         mark = b","
-        if isinstance(value, dict) and value:
+        if isinstance(value, Mapping) and value:
             inner = b"{"
             for name, row in value.items():
-                yield inner + json.dumps(name).encode() + b":" + json.dumps(row, separators=(",", ":")).encode()
+                yield inner + json.dumps(name).encode() + b":" + _compact(row)
                 inner = b","
             yield b"}"
         else:
-            yield json.dumps(value, separators=(",", ":")).encode()
+            yield _compact(value)
     yield b"}"
 
 
+def _compact(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
 def opened(where: str | tuple[str, int]) -> socket.socket:
     """A listening socket. Danger: a path may hold the socket of a program that was killed; it is replaced,
     and nothing but a socket ever is."""
--- a/corkgauge/figures/epoch.py
+++ b/corkgauge/figures/epoch.py
@@ -20,6 +20,7 @@
 SLOT = 256 * 1024       # bytes of one slot
 FILE = 2 * SLOT
 EARLIER = 8             # epochs kept beside the present one
+FOLDED = "(all)"        # the row of all engines, where each for itself would not fit
 TORN, FOREIGN, NEWER, EMPTY = "torn", "foreign", "newer", "empty"
 
 
@@ -72,5 +73,6 @@
 def folded(cut: dict[str, Any]) -> dict[str, Any]:
     """A cut with all its engines in one row, where they would not fit a slot."""
     from corkgauge.figures.cut import together
-    rows = [{**cut, "offerings": {}, "connections": {}, "engines": {"(all)": row}} for row in cut["engines"].values()]
+    rows = [{**cut, "offerings": {}, "connections": {}, "engines": {FOLDED: row}}
+            for row in cut["engines"].values()]
     return {**cut, "engines": together(rows)["engines"]}
--- a/corkgauge/figures/exposition.py
+++ b/corkgauge/figures/exposition.py
@@ -15,7 +15,7 @@
 from corkgauge.figures.terms import SORTS
 from corkgauge.figures.waits import buckets
 
-ROWS = 64       # of one piece
+ROWS = 32       # of one piece
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 Sample = tuple[list[str], float]
 
@@ -34,7 +34,8 @@
     """The whole text of a cut, in pieces that each take less than a millisecond or so."""
     gateway = cut["gateway"]
 
-    def family(kind: Any, name: str, text: str, labels: tuple[str, ...], samples: Iterable[Sample]) -> Iterator[bytes]:
+    def family(kind: Any, name: str, text: str, labels: tuple[str, ...],
+               samples: Iterable[Sample]) -> Iterator[bytes]:
         left, first = iter(samples), True
         while part := [*islice(left, ROWS)]:
             one = kind(name, text, labels=("gateway", *labels))
@@ -47,20 +48,23 @@
     yield from family(CounterMetricFamily, "corkgauge_submissions_taken", "Submissions taken.", ("offering",),
                       (([name], row["taken"]) for name, row in offerings))
     yield from family(
-        CounterMetricFamily, "corkgauge_submissions_ended", "Submissions that have their end, by term and reason.",
+        CounterMetricFamily, "corkgauge_submissions_ended",
+        "Submissions that have their end, by term and reason.",
         ("offering", "term", "reason"), _ends(offerings))
     yield from family(GaugeMetricFamily, "corkgauge_submissions_open", "Submissions open.", ("offering",),
                       (([name], row["open"]) for name, row in offerings))
     yield from family(CounterMetricFamily, "corkgauge_handoffs", "Hand-offs, by offering and sort.",
-                      ("offering", "sort"), (([name, sort], row[sort]) for name, row in offerings for sort in SORTS))
+                      ("offering", "sort"), _by_sort(offerings))
     yield from family(CounterMetricFamily, "corkgauge_engine_handoffs", "Hand-offs, by engine and sort.",
-                      ("engine", "sort"), (([name, sort], row[sort]) for name, row in engines for sort in SORTS))
+                      ("engine", "sort"), _by_sort(engines))
     yield from family(
-        CounterMetricFamily, "corkgauge_engine_outcomes", "How hand-offs ended, by engine.", ("engine", "outcome"),
+        CounterMetricFamily, "corkgauge_engine_outcomes", "How hand-offs ended, by engine.",
+        ("engine", "outcome"),
         (([name, outcome], count) for name, row in engines for outcome, count in row["outcomes"].items()))
     yield from family(GaugeMetricFamily, "corkgauge_engine_out", "Hand-offs out.", ("engine",),
                       (([name], row["out"]) for name, row in engines))
-    yield from family(CounterMetricFamily, "corkgauge_engine_pages", "Pages of results that came.", ("engine",),
+    yield from family(CounterMetricFamily, "corkgauge_engine_pages", "Pages of results that came.",
+                      ("engine",),
                       (([name], row["pages"]) for name, row in engines))
     sides = cut["connections"].items()
     for key, text in (("up", "Connections that came up."), ("ended", "Connections that ended."),
@@ -73,12 +77,18 @@
     yield from family(CounterMetricFamily, "corkgauge_figures_passes", "Passes over the books.", (),
                       [([], audit["passes"])])
     yield from family(GaugeMetricFamily, "corkgauge_figures_finding", "What does not add up, by how much.",
-                      ("kind", "row"), (([each["kind"], each["row"]], each["difference"]) for each in audit["findings"]))
-    yield from family(GaugeMetricFamily, "corkgauge_epoch_started_seconds", "When these counts began.", ("epoch",),
+                      ("kind", "row"), (([each["kind"], each["row"]], each["difference"])
+                                        for each in audit["findings"]))
+    yield from family(GaugeMetricFamily, "corkgauge_epoch_started_seconds", "When these counts began.",
+                      ("epoch",),
                       [([cut["epoch"]["id"]], cut["epoch"]["started"] / 10_000)])
     yield from _histograms(gateway, cut.get("waits", ()))
 
 
+def _by_sort(rows: Any) -> Iterator[Sample]:
+    return (([name, sort], row[sort]) for name, row in rows for sort in SORTS)
+
+
 def _ends(offerings: Any) -> Iterator[Sample]:
     from corkgauge.figures.terms import REASONS, TERMS
     for name, row in offerings:
@@ -89,7 +99,8 @@
 def _histograms(gateway: str, waits: Iterable[dict[str, Any]]) -> Iterator[bytes]:
     seen = set[str]()
     for each in sorted(waits, key=lambda one: (one["what"], one["whose"])):
-        one = HistogramMetricFamily(f"corkgauge_{each['what']}_seconds", f"{each['what'].capitalize()}, in seconds.",
+        one = HistogramMetricFamily(f"corkgauge_{each['what']}_seconds",
+                                    f"{each['what'].capitalize()}, in seconds.",
                                     labels=("gateway", "engine" if each["what"] == "service" else "offering"))
         one.add_metric([gateway, each["whose"]], buckets(each), each["sum"])
         yield _text(one, each["what"] not in seen)
--- a/corkgauge/figures/finding.py
+++ b/corkgauge/figures/finding.py
@@ -18,7 +18,7 @@
 HAND_CLOSED_TWICE = "hand-off closed twice"     # its outcome was counted two times, or while it is out
 HAND_ENTERED_TWICE = "hand-off entered twice"
 HAND_NEVER_ENTERED = "hand-off never entered"
-LOST = "lost from the table"            # open, with a record left elsewhere, and not in the table of open ones
+LOST = "lost from the table"            # open, a record of it is left elsewhere, not in the table
 COUNT_ALTERED = "count altered"         # a count differs by what no single thing explains
 TERMS_DIFFER = "terms differ"           # an equation within one row does not hold
 OUT_OF_STEP = "engine out of step"      # the gateway and the host hold other hand-offs out at an engine
@@ -63,7 +63,8 @@
         """An imbalance, as one pass sees it."""
         now, found = self.clock(), self.held.get((kind, row))
         if found is None:
-            if len(self.held) >= MOST:  # Danger: damage in every row would fill the memory with its own report
+            # Danger: damage in every row would fill the memory with its own report
+            if len(self.held) >= MOST:
                 self.untold += 1
                 return
             found = self.held[kind, row] = Finding(kind, row, now, now, difference, detail, events or [])
--- a/corkgauge/figures/ledger.py
+++ b/corkgauge/figures/ledger.py
@@ -49,7 +49,9 @@
     def add(self, other: "EngineRow") -> None:
         self.sorts = [*map(sum, zip(self.sorts, other.sorts))]
         self.outcomes = [*map(sum, zip(self.outcomes, other.outcomes))]
-        self.out, self.mark, self.pages = self.out + other.out, self.mark + other.mark, self.pages + other.pages
+        self.out += other.out
+        self.mark += other.mark
+        self.pages += other.pages
 
 
 class SideRow:
@@ -179,7 +181,7 @@
         return self.engines[name]
 
     def engine_gone(self, row: EngineRow) -> None:
-        """Danger: a day of engines that come and go under new ids would grow without end; they fold into one."""
+        """Danger: engines that come and go under new ids all day would be kept without end; they fold."""
         if not row.gone:
             row.gone = True
             if self.engines.get(row.name) is row:
--- a/corkgauge/figures/shelf.py
+++ b/corkgauge/figures/shelf.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from corkgauge.figures import epoch
-from corkgauge.figures.cut import Cut, closed_epoch
+from corkgauge.figures.cut import Cut, EngineRows, closed_epoch
 
 
 class Shelf:
@@ -66,7 +66,8 @@
             return
         self.generation += 1
         try:
-            data = epoch.slot(self.generation, {"cut": cut, "earlier": self.earlier})
+            data = epoch.slot(self.generation, {"cut": {**cut, "engines": cut["engines"].flat},
+                                                "earlier": self.earlier})
         except ValueError as problem:
             if not self.too_large:
                 self.too_large = True
@@ -103,4 +104,6 @@
         _, body, why = epoch.latest(file.read(epoch.FILE))
     if why:
         raise ValueError(why)
-    return body
+    cut = body["cut"]
+    rows = cut["engines"] if epoch.FOLDED in cut["engines"] else dict(EngineRows(cut["engines"]))
+    return {**body, "cut": {**cut, "engines": rows}}
--- a/corkgauge/figures/waits.py
+++ b/corkgauge/figures/waits.py
@@ -91,7 +91,8 @@
 def buckets(said: Mapping[str, Any]) -> list[tuple[str, float]]:
     """Cumulative counts by upper bound in seconds, the last one +Inf; a bin counts where its middle lies."""
     sketch = DDSketch(said["error"])
-    middles = sorted((sketch._mapping.value(int(key)) * SCALE, weight) for key, weight in said["bins"].items())
+    middles = sorted((sketch._mapping.value(int(key)) * SCALE, weight)
+                     for key, weight in said["bins"].items())
     found, at, count = [], 0, 0
     for bound in BOUNDS:
         while at < len(middles) and middles[at][0] <= bound:
--- a/corkgauge/net/log.py
+++ b/corkgauge/net/log.py
@@ -30,13 +30,14 @@
     ("leaving", r"leaving by (?P<by>\d+), (?P<open>\d+) open"),
     ("counters", r"counters (?P<pairs>.*)"),
     ("ended", r"ended; counters (?P<pairs>.*)"),
-    ("figures_finding", r"figures out of balance: (?P<row>.+?) (?P<kind>entered twice|never entered|never closed|"
-     r"closed twice|hand-off never closed|hand-off closed twice|lost from the table|count altered|"
-     r"terms differ|engine out of step|books differ|over budget) (?P<difference>[-+]\d+) since=(?P<since>\d+)"
+    ("figures_finding", r"figures out of balance: (?P<row>.+?) (?P<kind>(?:hand-off )?(?:entered twice|"
+     r"never entered|never closed|closed twice)|lost from the table|count altered|terms differ|"
+     r"engine out of step|books differ|over budget) (?P<difference>[-+]\d+) since=(?P<since>\d+)"
      r"(?: (?P<detail>.*))?"),
     ("figures_cleared", r"figures: (?P<count>\d+) findings cleared"),
     ("figures_not_kept", r"figures not kept: (?P<why>.*)"),
-    ("figures_epoch_closed", r"figures: epoch (?P<epoch>\S+) closed, taken=(?P<taken>\d+) cut_off=(?P<cut_off>\d+)"),
+    ("figures_epoch_closed",
+     r"figures: epoch (?P<epoch>\S+) closed, taken=(?P<taken>\d+) cut_off=(?P<cut_off>\d+)"),
     ("figures_fresh", r"figures: (?P<path>\S+) is (?P<why>.+), a fresh epoch"),
     ("figures_folded", r"figures: (?P<bytes>\d+) bytes are too many to keep, engines are kept in one row"),
 )]
--- a/corkgauge/operator.py
+++ b/corkgauge/operator.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Figures:
-    """What is told of the figures. `listen` is a path, an address with its port, or None; `keep` a folder or ""."""
+    """What is told of the figures. `listen`: a path, an address and port, or None; `keep`: a folder or ""."""
 
     listen: str | tuple[str, int] | None
     readers: int
@@ -66,7 +66,8 @@
     listen, keep, waits = said.find("listen"), said.find("keep"), said.find("waits")
     return Figures(
         _listen(path, listen), int(_of(listen, "readers", "4")), _of(keep, "folder", ""),
-        int(float(_of(keep, "each", "0.25")) * SECOND), float(_of(waits, "error", "0.02")) if waits is not None else 0.0)
+        int(float(_of(keep, "each", "0.25")) * SECOND),
+        float(_of(waits, "error", "0.02")) if waits is not None else 0.0)
 
 
 def _of(said: Any, name: str, otherwise: str) -> str:
--- /dev/null
+++ b/tests/test_day.py
@@ -0,0 +1,196 @@
+"""Short days of the real program on loopback: scrapes that balance, rules kept, damage found where it is."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+from click.testing import CliRunner
+
+from corkgauge.commands import group
+from corkgauge.commands.soak import SCRIPT, growth, scenes_of
+from corkgauge.net.hub import SECOND
+from corkgauge.standins import rules
+from corkgauge.standins.clients import Ask
+from corkgauge.standins.engines import Run
+from corkgauge.standins.play import STAKES, WANTS, Play, settings
+from corkgauge.standins.program import Program, free_port
+from corkgauge.standins.script import Unplayable, read
+from tests.damaged import ALL, ENTRIES, TABLES
+
+HERE = os.path.dirname(__file__)
+SLACK = 2500    # a busy machine may keep any process from its processor for a while
+
+
+def test_every_scrape_of_a_bad_day_balances_through_a_kill_and_a_restart():
+    play = Play(3, scenes_of(SCRIPT, 26, ["e1", "e2", "e3", "e4"]), rate=150, scrapes=12)
+    try:
+        play.run(26)
+        log = play.program.log()
+        end = [line for line in log if "ended; counters" in line]
+    finally:
+        play.close()
+    assert play.wrong == [] and play.scraped > 200
+    assert play.broken(SLACK) == []
+    assert not [line for line in log if "exceptions" in line or "out of balance" in line]
+    closed = [line for line in log if "figures: epoch" in line and "closed" in line]
+    assert len(closed) == 2 and "cut_off=0" in closed[1]    # killed, and restarted in order
+    earlier = play.cuts[-1]["earlier"]
+    assert [epoch["epoch"]["id"] for epoch in earlier] == [line.split("epoch ")[1].split()[0]
+                                                           for line in reversed(closed)]
+    assert len(end) == 2 and play.tally()["served"] > 2000
+    known = sum(row["taken"] for epoch in [play.cuts[-1], *earlier] for row in epoch["offerings"].values())
+    written = sum(not ask.excused == "not written" for client in play.clients for ask in client.book)
+    assert 0 <= written - known < 60    # what came in the last tenth of a second before the kill
+
+
+@pytest.fixture(scope="module")
+def damages():
+    """Every damage, a few at once."""
+    left, running, said = [*ALL], {}, {}
+    while left or running:
+        while left and len(running) < 5:
+            what = left.pop()
+            running[what] = subprocess.Popen([sys.executable, f"{HERE}/damaged.py", "play", what],
+                                             stdout=subprocess.PIPE, text=True)
+        for what, process in [*running.items()]:
+            if process.poll() is not None:
+                said[what] = json.loads(running.pop(what).stdout.read())
+        time.sleep(0.05)
+    return said
+
+
+def moment(line):
+    return time.mktime(time.strptime(line[:19], "%Y-%m-%d %H:%M:%S")) + float(line[19:23])
+
+
+@pytest.mark.parametrize("what", ALL)
+def test_damage_to_any_entry_is_found_within_five_seconds_at_its_place(damages, what):
+    kind = ENTRIES[what][2] if what in ENTRIES else TABLES[what]
+    damaged = damages[what]["damaged"]
+    assert len(damaged) == 1, damages[what]["log"]
+    _, when, row = damaged[0].split(" ", 2)
+    found = [line for line in damages[what]["found"] if f": {row} {kind} " in line]
+    assert found, (row, kind, damages[what]["found"])
+    assert -0.01 <= moment(found[0]) - float(when) < 5
+    assert any(each["kind"] == kind and each["row"] == row for each in damages[what]["findings"])
+
+
+def started(folder, *arguments, said=None, **more):
+    port = free_port()
+    program = Program(str(folder), {"name": "n1", "listen": f"127.0.0.1:{port}", "feed": "127.0.0.1:1",
+                                    "settings": settings(), **(said or {})}, **more)
+    program.start()
+    return program
+
+
+def heard(program, text, patience=5.0):
+    until = time.time() + patience
+    while time.time() < until:
+        if any(text in line for line in program.log()):
+            return True
+        time.sleep(0.02)
+    return False
+
+
+def test_nothing_of_the_figures_door_is_loaded_without_an_operator_file(tmp_path):
+    code = ("import sys; from corkgauge.commands.serve import command; from corkgauge.net import program; "
+            "print([name for name in sys.modules if name.split('.')[0] in ('lxml', 'h11', 'xxhash', 'msgpack', "
+            "'prometheus_client', 'ddsketch', 'rich') or name == 'corkgauge.operator'])")
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == "[]\n"
+
+
+def test_an_operator_file_that_is_faulty_at_a_start_and_at_sighup(tmp_path):
+    good = f'<operator version="1"><figures><listen unix="{tmp_path}/s"/></figures></operator>'
+    program = started(tmp_path, operator=good, log_form="json")
+    assert heard(program, '"event": "serving"')
+    (tmp_path / "operator.xml").write_text("<operator")
+    program.tell(signal.SIGHUP)
+    assert heard(program, '"event": "operator_file_not_taken"') and program.running()
+    assert program.end() == 0
+    events = [json.loads(line) for line in program.log() if line.startswith("{")]
+    assert events[-1]["event"] == "ended" and events[-1]["worst_lag"] >= 0
+    program.start()
+    assert program.process.wait(10) == 2 and "operator.xml:1:" in program.log()[-1]
+
+
+def test_a_folder_that_cannot_be_had_costs_one_line(tmp_path):
+    (tmp_path / "file").write_text("")
+    operator = f'<operator version="1"><figures><keep folder="{tmp_path}/file/x"/></figures></operator>'
+    program = started(tmp_path, operator=operator)
+    assert heard(program, "figures not kept") and heard(program, "serving as n1")
+    assert program.end() == 0
+
+
+def test_the_soak_command_says_what_it_found(tmp_path):
+    script = tmp_path / "script"
+    script.write_text("at 1 for 1: e1 slow 3")
+    said = CliRunner().invoke(group, ["soak", "--seconds", "3", "--script", str(script), "--json"])
+    found = json.loads(said.stdout)
+    assert said.exit_code == 0 and found["scrapes"] > 20 and found["clients"]["served"] > 100
+    script.write_text("at 1: e9 silent")
+    said = CliRunner().invoke(group, ["soak", "--script", str(script)])
+    assert said.exit_code == 2 and "script: line 1: no engine 'e9'" in said.stderr
+
+
+def test_growth_is_seen_within_the_last_epoch():
+    assert growth([100] * 40 + [50] * 60) == 0 and growth([*range(1000, 1100)]) > 50
+
+
+# The checker of the rules finds what breaks them.
+
+def ask(trace, sent=0, want=0, answers=((100, 1),), key="", excused=""):
+    said = [(when, code, f"{trace}\t0\te1\n".encode() if code == 1 else b"") for when, code in answers]
+    return Ask(trace, WANTS[want], key, sent, 0, 1, said, excused)
+
+
+def run(trace, came=10, engine="e2", offering="lookup", ended=90, kind="c12", work=5.0, ran=True, label=""):
+    return Run(engine, kind, trace, offering, label, came, work, ended, ran)
+
+
+FIRST = (0, "e2", "SERVING", 0)
+
+
+@pytest.mark.parametrize("rule, asks, runs, changes", [
+    ("", [ask("t")], [run("t")], [FIRST]),
+    ("lost", [ask("t", answers=())], [run("t")], [FIRST]),
+    ("", [ask("t", answers=(), excused="withdrawn")], [run("t")], [FIRST]),
+    ("lost", [ask("t", answers=((1, 2), (2, 2)))], [], [FIRST]),
+    ("lost", [ask("t", answers=((30_000, 2),))], [], [FIRST]),
+    ("lost", [ask("t")], [], [FIRST]),
+    ("effect", [ask("t", want=3)], [run("t", offering="once"), run("t", offering="once")], [FIRST]),
+    ("", [ask("t", want=3)], [run("t", offering="once", ran=False), run("t", offering="once")], [FIRST]),
+    ("drain", [ask("t")], [run("t", came=9_000)], [FIRST, (100, "e2", "DRAINING", 0)]),
+    ("cold", [ask("t", sent=1)], [run(f"t{n}" if n else "t", came=20 + n, work=4000.0) for n in range(9)],
+     [FIRST, (10, "e2", "SERVING", 1)]),
+    ("order", [ask("a", want=2, key="k"), ask("b", sent=5, want=2, key="k")],
+     [run("a", offering="load"), run("b", came=50, offering="load")], [FIRST]),
+    ("placement", [ask("t", want=1)], [run("t", offering="report", kind="c8")], [FIRST]),
+    ("budget", [ask(f"t{n}") for n in range(8)], [run(f"t{n}", came=n + k) for n in range(8)
+                                                  for k in (0, 50)],
+     [FIRST]),
+])
+def test_the_checker_of_the_rules(rule, asks, runs, changes):
+    found = rules.broken(asks, runs, changes, {"e2": 12}, STAKES)
+    assert {line.partition(":")[0] for line in found} == ({rule} if rule else set()), found
+
+
+def test_what_a_killed_gateway_held_is_not_owed():
+    asks, runs = [ask("t", answers=())], [run("t")]
+    assert rules.broken(asks, runs, [FIRST], {"e2": 12}, STAKES, killed=[5 * SECOND]) != []
+    assert rules.broken(asks, runs, [FIRST], {"e2": 12}, STAKES, killed=[SECOND]) == []
+
+
+@pytest.mark.parametrize("line, wrong", [
+    ("e1 silent", "expected 'at SECOND"), ("at x: e1 silent", "could not convert"),
+    ("at -1: e1 silent", "a time"),
+    ("at 1: e1 asleep", "expected one of slow"), ("at 1: e1 error 2", "makes no sense"), ("at 1: e1", "WHO"),
+    ("at 1: list drain e7", "no engine 'e7'"), ("at 1: program sing", "no engine 'program'"),
+])
+def test_a_script_that_makes_no_sense_names_its_line(line, wrong):
+    with pytest.raises(Unplayable) as said:
+        read(f"# a comment\n{line}", ["e1"])
+    assert "line 2: " in str(said.value) and wrong in str(said.value)
