--- a/corkgauge/commands/tables.py
+++ b/corkgauge/commands/tables.py
@@ -1,5 +1,6 @@
 """Cuts as tables for people."""
 
+from collections.abc import Iterable
 from typing import Any
 
 from rich.console import Group
@@ -7,13 +8,21 @@
 from rich.text import Text
 
 from corkgauge.figures.cut import Cut, differences
-from corkgauge.figures.terms import SORTS, TERMS
+from corkgauge.figures.terms import OUTCOMES, REASON_NAMES, SORTS, TERMS
+
+
+def plain_table(title: str, first: str, names: Iterable[str]) -> Table:
+    """A table that fits a terminal of 80 columns: no lines, no room at its edges."""
+    table = Table(title=title, box=None, pad_edge=False, title_justify="left")
+    table.add_column(first)
+    for name in names:
+        table.add_column(name, justify="right")
+    return table
 
 
 def offerings(cut: Cut) -> Table:
-    table = Table(title=f"{cut['gateway']}: taken = served + refused + failed + open")
-    for name in ("offering", *TERMS, "open", *SORTS, "out", "p50 s", "p99 s"):
-        table.add_column(name, justify="left" if name == "offering" else "right")
+    table = plain_table(f"{cut['gateway']}: taken = served + refused + failed + open", "offering",
+                        (*TERMS, "open", *SORTS, "out", "p50 s", "p99 s"))
     latency = {each["whose"]: each for each in cut.get("waits", ()) if each["what"] == "latency"}
     for name, row in cut["offerings"].items():
         if row["taken"]:
@@ -23,26 +32,22 @@
 
 
 def engines(cut: Cut, most: int = 40) -> Table:
-    table = Table(title="handed off = outcomes + out")
-    outcomes = [*next(iter(cut["engines"].values()), {"outcomes": {}})["outcomes"]]
-    for name in ("engine", *SORTS, *outcomes, "out", "pages"):
-        table.add_column(name, justify="left" if name == "engine" else "right")
+    outcomes = [name for name in OUTCOMES if any(row["outcomes"].get(name)
+                                                 for row in cut["engines"].values())]
+    table = plain_table("handed off = outcomes + out", "engine", (*SORTS, *outcomes, "out", "pages"))
     rows = sorted(cut["engines"].items(), key=lambda each: -sum(each[1][sort] for sort in SORTS))
     for name, row in rows[:most]:
         if any(row[sort] for sort in SORTS):
             table.add_row(name, *(str(row[sort]) for sort in SORTS),
-                          *(str(count or "") for count in row["outcomes"].values()), str(row["out"]),
+                          *(str(row["outcomes"].get(outcome) or "") for outcome in outcomes), str(row["out"]),
                           str(row["pages"]))
     return table
 
 
 def reasons(cut: Cut) -> Table:
-    table = Table(title="why they ended")
-    table.add_column("offering")
-    named = [name for name in next(iter(cut["offerings"].values()))["reasons"]
+    named = [name for name in REASON_NAMES
              if any(row["reasons"].get(name) for row in cut["offerings"].values())]
-    for name in named:
-        table.add_column(name, justify="right")
+    table = plain_table("why they ended", "offering", named)
     for name, row in cut["offerings"].items():
         if row["taken"]:
             table.add_row(name, *(str(row["reasons"].get(each, 0) or "") for each in named))
