--- a/corkgauge/figures/auditor.py
+++ b/corkgauge/figures/auditor.py
@@ -10,7 +10,7 @@
 change is checked record by record against the tables of the moment at which it is looked at.
 """
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from itertools import islice
 from typing import Any, Protocol
 
@@ -50,6 +50,8 @@
     def __init__(self, ledger: Ledger, live: Live, findings: f.Findings, slice_: int = SLICE) -> None:
         self.ledger, self.live, self.findings = ledger, live, findings
         self.slice, self.passes, self.walk = slice_, 0, iter(())
+        # Equations of other subsystems: each gives (name, difference, what it says).
+        self.others: list[Callable[[], Iterable[tuple[str, int, str]]]] = []
 
     def step(self) -> bool:
         """One slice; True at the end of a pass."""
@@ -159,6 +161,10 @@
             pages += side.pages + came
         if difference := sum(row.pages for row in rows) - pages:
             self.findings.see(f.BOOKS_DIFFER, "pages", difference, "by engine - by connection")
+        for other in self.others:
+            for name, difference, says in other():
+                if difference:
+                    self.findings.see(f.BOOKS_DIFFER, name, difference, says)
 
     # What it is called.
 
--- a/corkgauge/figures/bureau.py
+++ b/corkgauge/figures/bureau.py
@@ -54,6 +54,8 @@
         cut = whole(self._counts(), house.records.live_bytes(), house.findings, house.auditor.passes)
         if house.waits is not None:
             cut["waits"] = house.waits.told()
+        if house.flows is not None:
+            cut["flows"] = house.flows.told()
         if self.shelf is not None:
             cut["earlier"] = self.shelf.earlier
         return cut
--- a/corkgauge/figures/exposition.py
+++ b/corkgauge/figures/exposition.py
@@ -82,6 +82,14 @@
     yield from family(GaugeMetricFamily, "corkgauge_epoch_started_seconds", "When these counts began.",
                       ("epoch",),
                       [([cut["epoch"]["id"]], cut["epoch"]["started"] / 10_000)])
+    flows = cut.get("flows", {}).items()
+    yield from family(GaugeMetricFamily, "corkgauge_flow_octets", "Octets of flows, by what became of them.",
+                      ("queue", "state"), (([name, state], row[state]) for name, row in flows for state in (
+                          "measured", "told", "held", "dropped", "unsure", "repeated")))
+    yield from family(GaugeMetricFamily, "corkgauge_flow_collector_up", "1 while a collector is up.",
+                      ("queue", "collector"), (([name, collector], float(state == "up"))
+                                               for name, row in flows for collector,
+                                               state in row["collectors"].items()))
     yield from _histograms(gateway, cut.get("waits", ()))
 
 
--- /dev/null
+++ b/corkgauge/flow/exporter.py
@@ -0,0 +1,185 @@
+"""Flow export of one program: the meter, the keepers and their connections, put together.
+
+Owns which connections are metered and how often things are looked at. Must never stall what is served:
+nothing here waits, and what a tick does is bounded.
+"""
+
+import socket
+from typing import Any
+from zlib import crc32
+
+from corkgauge.flow.codec import Layout
+from corkgauge.flow.delta import Delta
+from corkgauge.flow.elements import ENDED, FORCED, INGRESS
+from corkgauge.flow.held import Held
+from corkgauge.flow.keeper import STATES, Keeper, Peer
+from corkgauge.flow.meter import Flow, Meter
+from corkgauge.flow.tls import Untrusted, context_of
+from corkgauge.flow.transports import Datagrams, Stream
+from corkgauge.net.configuration import Faulty
+from corkgauge.operator import Collector, Flows
+
+TICK = 500              # tenths of a millisecond
+# Why a connection ended by itself, and not by us.
+BY_ITSELF = "closed", "Connection reset by peer", "Broken pipe", "broken"
+
+
+class Exporter:
+    """`house` has `hub`, `log`, `ledger`, `records` and `auditor`. One keeper tells the first collector that
+    is well; or, in mode `all`, each collector has one of its own."""
+
+    def __init__(self, house: Any, gateway: str, seed: int, said: Flows) -> None:
+        self.house, self.hub, self.gateway, self.seed, self.said = house, house.hub, gateway, seed, said
+        self.began = self.hub.now
+        self.domain = crc32(gateway.encode())   # the same after each restart
+        self.flows: dict[Any, Flow] = {}
+        self.peers: dict[Peer, tuple[Collector, Any]] = {}      # with its TLS context
+        self.lines: dict[Peer, Any] = {}
+        self.keepers: dict[str, Keeper] = {}
+        self.meter = Meter(self._told, said.active, said.idle, self.hub.now)
+        self._arrange(said, self._contexts(said))
+        house.flows = self
+        house.auditor.others.append(self.differences)
+        self.hub.later(TICK, self.tick)
+
+    # What the host tells.
+
+    def up(self, link: Any, side: int, engine: str = "", hall: str = "") -> None:
+        """A connection: a client's, or one to an engine."""
+        self.flows[link] = self.meter.up(link, side, ends_of(link.sock, side), engine, hall, self.hub.now)
+
+    def over(self, link: Any) -> None:
+        if flow := self.flows.pop(link, None):
+            self.meter.over(flow, ENDED if link.why in BY_ITSELF else FORCED, self.hub.now)
+
+    def tick(self) -> None:
+        now = self.hub.now
+        self.meter.advance(now)
+        for line in [*self.lines.values()]:
+            line.look()
+        for keeper in [*self.keepers.values()]:
+            keeper.tick(now)
+        self.hub.later(TICK, self.tick)
+
+    def reload(self, said: Flows) -> None:
+        """Other collectors, or another layout; what is held stays held. `Faulty`, and nothing is changed."""
+        contexts = self._contexts(said)
+        self.meter.active, self.meter.idle = said.active, said.idle
+        if said.memory != self.said.memory:
+            self.house.log("operator file: flows memory changed, in force after a restart")
+        self._arrange(said, contexts)
+        self.said = said
+
+    def end(self) -> None:
+        """The program ends: what is open is told as far as it went, and what can go goes."""
+        for link in [*self.flows]:
+            self.meter.over(self.flows.pop(link), FORCED, self.hub.now)
+        for keeper in self.keepers.values():
+            keeper.last(self.hub.now)
+        for line in self.lines.values():
+            line.flush()
+        for name, keeper in self.keepers.items():
+            keeper.part(self.hub.now)
+            if keeper.held.octets:
+                self.house.log(f"collector {name}: {keeper.held.octets} octets were held at the end")
+
+    def _told(self, delta: Delta) -> None:
+        first, *others = self.keepers.values()
+        for keeper in others:       # each merges its own
+            keeper.add(Delta(*(getattr(delta, name) for name in Delta.__slots__)))
+        first.add(delta)
+
+    # Collectors.
+
+    def _contexts(self, said: Flows) -> list[Any]:
+        try:
+            return [context_of(each.tls.ca, each.tls.certificate, each.tls.key) if each.tls else None
+                    for each in said.collectors]
+        except Untrusted as problem:
+            raise Faulty(f"flows: {problem}") from None
+
+    def _arrange(self, said: Flows, contexts: list[Any]) -> None:
+        layout = Layout(said.layout, self.gateway)
+        old, self.keepers = self.keepers, {}
+        peers = []
+        for each, context in zip(said.collectors, contexts):
+            peer = Peer("%s:%d" % each.address, each.transport == "udp", each.payload, each.refresh,
+                        each.refresh_after)
+            self.peers[peer] = each, context
+            peers.append(peer)
+        groups = {peer.name: [peer] for peer in peers} if said.mode == "all" else {"first": peers}
+        for name, group in groups.items():
+            keeper = old.pop(name, None)
+            if keeper is None:
+                held = Held(said.memory // len(groups))
+                keeper = Keeper(self, layout, self.domain, group, held, self.seed, self.began)
+            else:
+                keeper.renew(group, layout, self.hub.now)
+            self.keepers[name] = keeper
+        for name, keeper in old.items():
+            keeper.renew([], layout, self.hub.now)
+            self.house.log(f"collector {name} left, {keeper.held.octets} octets were held for it")
+        kept = {peer for keeper in self.keepers.values() for peer in keeper.peers}
+        self.peers = {peer: what for peer, what in self.peers.items() if peer in kept}
+
+    # What a keeper may do.
+
+    def open(self, peer: Peer) -> None:
+        (collector, context), keeper = self.peers[peer], self._keeper_of(peer)
+        if collector.transport == "udp":
+            self.lines[peer] = Datagrams(self.hub, keeper, peer, collector.address)
+        else:
+            self.lines[peer] = Stream(self.hub, keeper, peer, collector.address, context,
+                                      collector.tls.name if collector.tls else "")
+
+    def send(self, peer: Peer, data: bytes) -> bool:
+        line = self.lines.get(peer)
+        return line is not None and line.send(data)
+
+    def close(self, peer: Peer) -> None:
+        if line := self.lines.pop(peer, None):
+            line.close()
+
+    def log(self, line: str) -> None:
+        self.house.log(line)
+
+    def _keeper_of(self, peer: Peer) -> Keeper:
+        return next(keeper for keeper in self.keepers.values() if peer in keeper.peers)
+
+    # Figures.
+
+    def differences(self) -> list[tuple[str, int, str]]:
+        """The equations of export, for the auditor."""
+        house = self.house
+        carried = sum(row.got + row.sent for row in house.ledger.sides)
+        carried += sum(got + sent for got, sent, _ in house.records.live_bytes())
+        found = [("flows measured", carried - self.meter.octets - self.meter.untold(),
+                  "octets of connections - measured - not yet told")]
+        for name, keeper in self.keepers.items():
+            found.append((f"flows to {name}", keeper.difference(), "measured - told - held - dropped"))
+            found.append((f"flows held for {name}", keeper.holding - keeper.recount(), "counted - recounted"))
+        return found
+
+    def told(self) -> dict[str, Any]:
+        """For the cut."""
+        return {name: {"measured": keeper.held.measured, "told": keeper.told, "held": keeper.holding,
+                       "dropped": keeper.held.dropped, "unsure": keeper.unsure, "repeated": keeper.repeated,
+                       "merged": keeper.held.merged, "messages": keeper.messages,
+                       "records": keeper.told_records,
+                       "flows": len(self.meter.flows),
+                       "collectors": {peer.name: STATES[peer.state] for peer in keeper.peers}}
+                for name, keeper in self.keepers.items()}
+
+
+def ends_of(sock: Any, side: int) -> tuple[int, bytes, int, bytes, int]:
+    """Family, the initiator's address and port, and the other's; family 0 where the socket has no such."""
+    try:
+        here, there = sock.getsockname(), sock.getpeername()
+    except OSError:
+        return 0, b"", 0, b"", 0
+    if sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return 0, b"", 0, b"", 0
+    source, target = (there, here) if side == INGRESS else (here, there)
+    family = 4 if sock.family == socket.AF_INET else 6
+    packed = [socket.inet_pton(sock.family, end[0].partition("%")[0]) for end in (source, target)]
+    return family, packed[0], source[1], packed[1], target[1]
--- a/corkgauge/net/clients.py
+++ b/corkgauge/net/clients.py
@@ -171,6 +171,8 @@
     def ended(self, why: str) -> None:
         self.house.callers.pop(self, None)
         self.house.ledger.connection_over(CLIENT, self.link.got, self.link.sent)
+        if self.house.flows is not None:
+            self.house.flows.over(self.link)
         self._written()
         while self.unwritten:
             self._gone(self.unwritten.popleft()[1], CUT_OFF)
--- a/corkgauge/net/engines.py
+++ b/corkgauge/net/engines.py
@@ -80,6 +80,9 @@
         self.alive, self.asked = 0, NEVER   # signs asked for; when, while none has come
         self.spoke = self.lively = self.house.now   # its last answer; since when none was long in coming
         self.link = Link(self.house.hub, sock, EngineWire(self, self.house.lines), self, MID_ANSWER)
+        if self.house.flows is not None:
+            halls, hall = self.house.stated.halls, station.engine.hall
+            self.house.flows.up(self.link, ENGINE, station.engine.name, str(halls[hall]))
 
     def room_for(self, order: Order) -> bool:
         # Danger: both hand-offs of a submission carry its id; a late answer to one would pass for the other.
@@ -173,6 +176,8 @@
         station = self.station
         station.links.remove(self)
         self.house.ledger.connection_over(ENGINE, self.link.got, self.link.sent, self.pages)
+        if self.house.flows is not None:
+            self.house.flows.over(self.link)
         errands, self.open = [*self.open.values()], {}
         if errands:
             self.house.log(f"link {station.engine.tag} ended: {why}; {len(errands)} out")
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -96,6 +96,7 @@
         self.ledger = Ledger(self.offerings, lambda: hub.now, self.stated.budget, self.miscounted)
         self.rows = {each: self.ledger.offerings[each.name] for each in self.stated.offerings}
         self.answering: dict[Order, None] = {}      # have their end, and their answer has not left whole
+        self.flows: Any = None      # what every connection carries, told to collectors, likewise
         self.waits: Any = None      # sketches of what took how long, where an operator file wants them
         self.called: dict[HandOff, Errand] = {}     # called off, and the gateway has yet to hear of it
         self.records = Records(self)
@@ -189,6 +190,8 @@
         caller = Caller(self, sock)
         self.callers[caller] = None
         self.ledger.connection_up(CLIENT)
+        if self.flows is not None:
+            self.flows.up(caller.link, CLIENT)
         self.hub.spawn(caller.link.run)
         if self.end != NEVER:
             caller.link.send(client_wire.leaving())
--- a/corkgauge/net/link.py
+++ b/corkgauge/net/link.py
@@ -29,7 +29,7 @@
     def __init__(self, hub: Hub, sock: socket.socket, machine: Any, owner: Any, stuck: int = 0,
                  greets: bool = False) -> None:
         sock.setblocking(False)
-        if sock.family == socket.AF_INET:
+        if sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.hub, self.sock, self.machine, self.owner = hub, sock, machine, owner
         self.fd, self.why, self.stuck = sock.fileno(), "", stuck   # that one frame may take; 0: any time
@@ -180,7 +180,7 @@
     """A connected socket, or why not; only for tasks."""
     sock = None
     try:    # Danger: without a descriptor there is no socket either
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         code = sock.connect_ex(address)
         if code == errno.EINPROGRESS:
--- a/corkgauge/net/log.py
+++ b/corkgauge/net/log.py
@@ -34,6 +34,12 @@
      r"never entered|never closed|closed twice)|lost from the table|count altered|terms differ|"
      r"engine out of step|books differ|over budget) (?P<difference>[-+]\d+) since=(?P<since>\d+)"
      r"(?: (?P<detail>.*))?"),
+    ("collector_lost", r"collector (?P<collector>\S+) lost: (?P<why>.*)"),
+    ("collector_not_reached", r"collector (?P<collector>\S+) not reached: (?P<why>.*)"),
+    ("collector_up", r"collector (?P<collector>\S+) up"),
+    ("collector_takes_over", r"collector (?P<collector>\S+) takes over from (?P<from>\S+)"),
+    ("collector_end", r"collector (?P<collector>\S+): (?P<octets>\d+) octets were held at the end"),
+    ("collector_left", r"collector (?P<collector>\S+) left, (?P<octets>\d+) octets were held for it"),
     ("figures_cleared", r"figures: (?P<count>\d+) findings cleared"),
     ("figures_not_kept", r"figures not kept: (?P<why>.*)"),
     ("figures_epoch_closed",
--- a/corkgauge/net/program.py
+++ b/corkgauge/net/program.py
@@ -95,6 +95,10 @@
         if self.said.figures is not None:
             from corkgauge.figures.bureau import Bureau
             self.bureau = Bureau(house, post.name, post.seed, self.said.figures)
+        self.exporter: Any = None
+        if self.said.flows is not None:
+            from corkgauge.flow.exporter import Exporter
+            self.exporter = Exporter(house, post.name, post.seed, self.said.flows)
 
     def reload(self) -> None:
         """Read it again, whole or not at all."""
@@ -103,18 +107,21 @@
             said = operator.read(self.path)
         except Faulty as problem:
             return self.house.log(f"operator file not taken: {problem}")
-        if (said.figures is None) != (self.bureau is None):
-            self.house.log("operator file: figures switched, in force after a restart")
-        if self.bureau is not None and said.figures is not None:
-            try:
-                self.bureau.reload(said.figures)
-            except Faulty as problem:
-                return self.house.log(f"operator file not taken: {problem}")
+        for name, running in ("figures", self.bureau), ("flows", self.exporter):
+            element = getattr(said, name)
+            if (element is None) != (running is None):
+                self.house.log(f"operator file: {name} switched, in force after a restart")
+            elif running is not None:
+                try:
+                    running.reload(element)
+                except Faulty as problem:
+                    return self.house.log(f"operator file not taken: {problem}")
         self.said = said
 
     def end(self) -> None:
-        if self.bureau is not None:
-            self.bureau.end()
+        for running in self.exporter, self.bureau:
+            if running is not None:
+                running.end()
 
 
 def check(post: Post, operator_file: str = "") -> int:
--- a/corkgauge/operator.py
+++ b/corkgauge/operator.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 from importlib.resources import files
+from ipaddress import ip_address
 from typing import Any
 
 from lxml import etree
@@ -14,6 +15,7 @@
 from corkgauge.net.hub import SECOND
 
 LARGEST = 2 ** 20       # bytes of a file
+MOST_DATAGRAM = 65_507  # octets of a datagram, on IPv4
 MOST_UNIX = 107         # bytes of a Unix socket's path, by the system's own limit
 
 
@@ -28,12 +30,48 @@
     error: float            # of the sketches; 0: none are kept
 
 
+@dataclass(frozen=True, slots=True)
+class Tls:
+    """Files by which a collector is known, its name, and, where there are any, ours."""
+
+    ca: str
+    name: str
+    certificate: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Collector:
+    """Where flow records go: udp, tcp or tls. `payload` is octets of a message, `refresh` tenths of a
+    millisecond, `refresh_after` messages between two sendings of templates on UDP."""
+
+    address: tuple[str, int]
+    transport: str
+    payload: int
+    refresh: int
+    refresh_after: int
+    tls: Tls | None
+
+
+@dataclass(frozen=True, slots=True)
+class Flows:
+    """What is told of flow export. Spans are tenths of a millisecond, `memory` octets."""
+
+    layout: str
+    mode: str
+    active: int
+    idle: int
+    memory: int
+    collectors: tuple[Collector, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Operated:
     """One operator file, whole. What has no element is None."""
 
     path: str
     figures: Figures | None
+    flows: Flows | None
 
 
 def read(path: str) -> Operated:
@@ -57,7 +95,7 @@
     if not schema.validate(tree):
         first = schema.error_log[0]
         raise Faulty(f"{path}:{first.line}: {first.message}")
-    return Operated(path, _figures(path, tree.find("figures")))
+    return Operated(path, _figures(path, tree.find("figures")), _flows(path, tree.find("flows")))
 
 
 def _figures(path: str, said: Any) -> Figures | None:
@@ -70,6 +108,44 @@
         float(_of(waits, "error", "0.02")) if waits is not None else 0.0)
 
 
+def _flows(path: str, said: Any) -> Flows | None:
+    if said is None:
+        return None
+    layout = said.get("layout", "own")
+    collectors = tuple(_collector(path, each, layout) for each in said.findall("collector"))
+    if len({each.address for each in collectors}) < len(collectors):
+        raise _wrong(path, said, "collectors of different addresses")
+    return Flows(layout, said.get("mode", "failover"), _span(said, "active", "60"), _span(said, "idle", "15"),
+                 int(said.get("memory", "1048576")), collectors)
+
+
+def _collector(path: str, said: Any, layout: str) -> Collector:
+    transport, tls = said.get("transport"), said.find("tls")
+    if layout == "netflow9" and transport != "udp":
+        raise _wrong(path, said, "transport udp, the only one of netflow9")
+    if (transport == "tls") != (tls is not None):
+        raise _wrong(path, said, "an element tls with transport tls, and with no other")
+    host, _, port = said.get("address").rpartition(":")
+    try:
+        host = str(ip_address(host.strip("[]")))
+        if not 0 < int(port) < 65536:
+            raise ValueError
+    except ValueError:
+        raise _wrong(path, said, f"ADDRESS:PORT, found {said.get('address')!r}") from None
+    if tls is not None and (tls.get("certificate") is None) != (tls.get("key") is None):
+        raise _wrong(path, tls, "certificate and key together")
+    payload = int(said.get("payload", "1400" if transport == "udp" else "16384"))
+    if transport == "udp" and payload > MOST_DATAGRAM:
+        raise _wrong(path, said, f"a payload of {MOST_DATAGRAM} octets at most on udp")
+    return Collector((host, int(port)), transport, payload, _span(said, "templates", "300"),
+                     int(said.get("messages", "1000")), None if tls is None else Tls(
+                         tls.get("ca"), tls.get("name"), tls.get("certificate", ""), tls.get("key", "")))
+
+
+def _span(said: Any, name: str, otherwise: str) -> int:
+    return int(float(said.get(name, otherwise)) * SECOND)
+
+
 def _of(said: Any, name: str, otherwise: str) -> str:
     return otherwise if said is None else said.get(name, otherwise)
 
--- /dev/null
+++ b/tests/test_flow.py
@@ -0,0 +1,791 @@
+"""Flow export: bytes as the RFCs have them, timeouts, what is held, whom to tell, and real collectors."""
+
+import ssl
+from collections import Counter
+from datetime import datetime, timedelta, timezone
+from random import Random
+
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+from hypothesis import given, settings, strategies
+from netflow import parse_packet
+
+from corkgauge.figures.cut import cut_of
+from corkgauge.flow import codec
+from corkgauge.flow.codec import Field, Layout, Message, Template, template_set
+from corkgauge.flow.decoder import Decoder, Malformed, Stream
+from corkgauge.flow.delta import Delta
+from corkgauge.flow.elements import ACTIVE, EGRESS, ENDED, IDLE, INGRESS
+from corkgauge.flow.exporter import Exporter
+from corkgauge.flow.held import RECORD, Held
+from corkgauge.flow.keeper import DOWN, UP, Keeper, Peer
+from corkgauge.flow.meter import Meter
+from corkgauge.flow.session import Session
+from corkgauge.flow.tls import Untrusted, context_of
+from corkgauge.flow.wheel import Wheel
+from corkgauge.net.configuration import Faulty
+from corkgauge.operator import read as read_operator
+from corkgauge.standins.collector import CollectorStandIn
+from tests.yard import Premises, listing, name, request
+
+SECOND = 10_000
+
+
+def ip(text):
+    return bytes(map(int, text.split(".")))
+
+
+# Bytes.
+
+FLOW = Template(256, [Field("sourceIPv4Address", 4), Field("destinationIPv4Address", 4),
+                      Field("ipNextHopIPv4Address", 4), Field("packetDeltaCount", 4),
+                      Field("octetDeltaCount", 4)])
+LINE = Template(258, [Field("lineCardId", 4), Field("exportedMessageTotalCount", 2),
+                      Field("exportedFlowRecordTotalCount", 2)], 1)
+# RFC 7011, appendix A (and RFC 3954, section 9, which has the same flows with a template set of 0).
+GOLDEN_TEMPLATE = "0002001c 01000005 00080004 000c0004 000f0004 00020004 00010004"
+GOLDEN_DATA = ("01000040 c000020c c00002fe c0000201 00001391 00518c81"
+               " c000021b c0000217 c0000202 000002ec 0005ef46"
+               " c0000238 c0000241 c0000203 00000005 00001986")
+GOLDEN_OPTIONS = "00030018 01020003 0001008d 00040029 0002002a 00020000"
+GOLDEN_OPTIONS_DATA = "01020014 00000001 015927d9 00000002 02b24fb2"
+
+
+def test_the_worked_examples_of_the_rfcs():
+    message = Message(False, 1400)
+    for template in FLOW, LINE:
+        assert message.add(template_set(template, False), template.definition(False))
+    for values in (("192.0.2.12", "192.0.2.254", "192.0.2.1", 5009, 5344385),
+                   ("192.0.2.27", "192.0.2.23", "192.0.2.2", 748, 388934),
+                   ("192.0.2.56", "192.0.2.65", "192.0.2.3", 5, 6534)):
+        assert message.add(256, FLOW.record([*map(ip, values[:3]), *values[3:]]))
+    for values in (1, 345, 10201), (2, 690, 20402):
+        message.add(258, LINE.record(values))
+    data = message.data(1_000_000, 0, 7, 9)
+    assert data[16:] == bytes.fromhex(GOLDEN_TEMPLATE + GOLDEN_OPTIONS + GOLDEN_DATA + GOLDEN_OPTIONS_DATA)
+    heard = Decoder().message(data)
+    assert (heard.sequence, heard.domain, heard.exported, len(heard.records)) == (7, 9, 1000, 3)
+    assert heard.records[1]["octetDeltaCount"] == 388934 and heard.options[1]["lineCardId"] == 2
+    assert FLOW.definition(True) == bytes.fromhex(GOLDEN_TEMPLATE)[4:]
+    assert LINE.definition(True)[:6] == bytes.fromhex("0102 0004 0008")     # octets, not counts
+
+
+def test_strings_of_variable_length():
+    template = Template(300, [Field("engineId", codec.VARIABLE)])
+    assert template.record((), [b"hello"]) == b"\5hello"
+    assert template.record((), [b"x" * 1000]) == b"\xff\x03\xe8" + b"x" * 1000
+
+
+def delta(flow=1, forward=100, reverse=50, reason=ENDED, family=4, side=EGRESS, engine="e1", hall="hall-a",
+          first=1000,
+          last=2000):
+    size = {4: 4, 6: 16, 0: 0}[family]
+    return Delta(flow, side, family, b"\x7f" * size, 4000 + flow % 999, b"\x0a" * size, 9090, engine, hall,
+                 first, last,
+                 forward, reverse, reason)
+
+
+KINDS = codec.OWN_LAYOUT, codec.STANDARD, codec.NETFLOW9
+deltas = strategies.builds(
+    delta, flow=strategies.integers(1, 10 ** 6), forward=strategies.integers(0, 2 ** 40),
+    reverse=strategies.integers(0, 2 ** 33), reason=strategies.integers(1, 5),
+    family=strategies.sampled_from((0, 4, 6)),
+    side=strategies.integers(0, 1), engine=strategies.text(max_size=80),
+    first=strategies.integers(0, 2 ** 41),
+    last=strategies.integers(0, 2 ** 41))
+
+
+def octets(heard):
+    return sum(record["octetDeltaCount"] + record.get("reverseOctetDeltaCount", 0) + record.get(
+        "postOctetDeltaCount", 0) for each in heard for record in each.records)
+
+
+@settings(max_examples=120, deadline=None)
+@given(strategies.sampled_from(KINDS), strategies.lists(deltas, max_size=30), strategies.integers(512, 3000))
+def test_whatever_is_encoded_is_decoded_within_the_limit(kind, several, limit):
+    session, decoder, queue = Session(Layout(kind, "n1"), 77, limit, 0), Decoder(), [*several]
+    statistics = Counter()
+    messages, told = session.introduction(5_000, statistics), []
+    while queue:
+        data, some, left = session.data(6_000, lambda: queue.pop(0) if queue else None)
+        assert some and data
+        queue[:0] = [left] if left else []
+        messages.append(data)
+        told += some
+    heard = [decoder.message(data) for data in messages]
+    assert told == several and all(len(data) <= limit for data in messages)
+    assert octets(heard) == sum(each.octets for each in several)
+    assert not any(each.missed or each.unknown for each in heard) and all(each.domain == 77 for each in heard)
+    if kind == codec.OWN_LAYOUT:
+        assert sorted(record["engineId"] for each in heard for record in each.records) == sorted(
+            each.engine.encode()[:64].decode(errors="replace") for each in told)
+    if kind != codec.OWN_LAYOUT:    # the standard decoder knows neither variable lengths nor enterprises
+        templates = {"netflow": {}, "ipfix": {}}
+        theirs = [flow.data for data in messages for flow in parse_packet(data.hex(), templates).flows]
+        names = ("octetDeltaCount",) if kind == codec.STANDARD else ("IN_BYTES", "OUT_BYTES")
+        statistics_records = kind == codec.STANDARD     # it takes options for flows
+        assert len(theirs) == sum(len(each.records) + statistics_records * len(each.options)
+                                  for each in heard)
+        assert sum(flow.get(each, 0) for flow in theirs for each in names) == octets(heard)
+
+
+def test_both_decoders_agree_on_every_field():
+    for kind in codec.STANDARD, codec.NETFLOW9:
+        session, ours = Session(Layout(kind, "n1"), 77, 1400, 500), Decoder()
+        templates = {"netflow": {}, "ipfix": {}}
+        queue = [delta(1), delta(2, family=6, side=INGRESS), delta(3, forward=2 ** 35)]
+        messages = [*session.introduction(5_000, Counter()),
+                    session.data(6_000, lambda: queue.pop(0) if queue else None)[0]]
+        mine = [record for data in messages for record in ours.message(data).records]
+        theirs = [flow.data for data in messages for flow in parse_packet(data.hex(), templates).flows
+                  if "observationDomainId" not in flow.data]
+        assert len(mine) == len(theirs) >= 3
+        for one, other in zip(mine, theirs):
+            assert sorted(str(value) for key, value in one.items() if "Address" not in key) == sorted(
+                str(value) for key, value in other.items() if "ADDR" not in key and "Address" not in key)
+
+
+def messages_of(kind=codec.OWN_LAYOUT):
+    session = Session(Layout(kind, "n1"), 77, 1400, 0)
+    queue = [delta(n, family=(4, 6)[n % 2]) for n in range(9)]
+    return [*session.introduction(5_000, Counter()), session.data(6_000,
+                                                                  lambda: queue.pop(0) if queue else None)[0]]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_changed_bytes_are_refused_or_read_and_nothing_grows(kind):
+    chance, decoder = Random(5), Decoder()
+    for _ in range(600):
+        for data in messages_of(kind):
+            bad = bytearray(data)
+            for _ in range(chance.randint(1, 5)):
+                bad[chance.randrange(len(bad))] = chance.randrange(256)
+            try:
+                decoder.message(bytes(bad[:chance.choice((len(bad), chance.randrange(len(bad) + 1)))]))
+            except Malformed as problem:
+                assert "\n" not in str(problem)
+    assert len(decoder.templates) <= 1000 and len(decoder.types) < 1100 and len(decoder.expected) <= 1001
+
+
+@given(strategies.binary(max_size=200))
+def test_any_bytes_are_no_crash(data):
+    for head in b"", b"\0\x0a", b"\0\x09", b"\0\x0a" + (len(data) + 16).to_bytes(2, "big") + bytes(12):
+        try:
+            Decoder().message(head + data)
+        except Malformed:
+            pass
+
+
+@pytest.mark.parametrize("body, wrong", [
+    ("0002 0003", "a set of 3 octets"), ("0002 0040", "a set of 64"), ("0004 0004", "set 4"),
+    ("0002 000c 00ff 0001 0001 0004", "template 255"), ("0002 000c 0100 0001 0001 0000", "of length 0"),
+    ("0002 000c 0100 0002 0001 0004", "cut short"), ("0002 000c 0100 0001 8001 0004", "cut short"),
+    ("0003 000e 0100 0001 0002 0001 0004", "as scope"),
+    ("0002 000c 0100 0001 0001 0004 0100 0007 000001", "padding"),
+    ("0002 000c 0100 0001 0052 ffff 0100 0008 0964 6464", "cut short"),
+])
+def test_what_does_not_fit_is_malformed(body, wrong):
+    data = bytes.fromhex(body)
+    with pytest.raises(Malformed, match=wrong):
+        Decoder().message(b"\0\x0a" + (16 + len(data)).to_bytes(2, "big") + bytes(12) + data)
+
+
+def test_a_withdrawal_forgets_and_a_gap_is_seen():
+    session, decoder = Session(Layout(codec.OWN_LAYOUT, "n1"), 7, 1400, 0), Decoder()
+    queue = [delta(n) for n in range(60)]
+    introduction = session.introduction(0, Counter())
+    first, (lost, gone, _), third = (session.data(0, lambda: queue.pop(0) if queue else None)
+                                     for _ in range(3))
+    for data in (*introduction, first[0]):
+        assert decoder.message(data).missed == 0
+    assert decoder.message(third[0]).missed == len(gone) > 0
+    assert decoder.message(session.farewell(0)).unknown == 0 and not decoder.templates
+    assert decoder.message(third[0]).unknown == 1
+
+
+def test_a_stream_gives_messages_however_it_is_split():
+    whole = b"".join(messages_of())
+    for step in 1, 3, 700:
+        stream = Stream()
+        found = [each for at in range(0, len(whole), step) for each in stream.feed(whole[at:at + step])]
+        assert found == messages_of()
+    with pytest.raises(Malformed):
+        Stream().feed(b"\0\x09\0\x20")
+
+
+# Timeouts.
+
+@settings(max_examples=60, deadline=None)
+@given(strategies.lists(strategies.tuples(strategies.integers(0, 2), strategies.integers(1, 900)),
+                        max_size=80))
+def test_the_wheel_is_a_plain_list_of_due_times(steps):
+    class Entry:
+        due = 0
+    wheel, model, now = Wheel(8, 10), {}, 0
+    for what, value in steps:
+        if what == 0:
+            entry = Entry()
+            wheel.put(entry, now + value)
+            model[entry] = entry.due
+        elif what == 1 and model:
+            entry = [*model][value % len(model)]
+            wheel.take(entry)
+            wheel.take(entry)
+            del model[entry]
+        else:
+            now += value
+            due = set(wheel.advance(now))
+            assert due == {entry for entry, when in model.items() if when // 10 <= now // 10}
+            model = {entry: when for entry, when in model.items() if entry not in due}
+        assert len(wheel) == len(model)
+
+
+class Wire:
+    got = sent = 0
+
+
+def metered(active=60, idle=15):
+    told = []
+    return Meter(told.append, active * SECOND, idle * SECOND, 0), told
+
+
+ENDS = 4, ip("127.0.0.1"), 4000, ip("127.0.0.2"), 9090
+
+
+def test_a_connection_open_all_night_is_seen_each_minute():
+    meter, told = metered()
+    link = Wire()
+    flow = meter.up(link, EGRESS, ENDS, "e1", "hall-a", 0)
+    for now in range(0, 600 * SECOND, SECOND // 2):
+        link.sent += 10
+        link.got += 1
+        meter.advance(now)
+        meter.advance(now)
+    meter.over(flow, ENDED, 600 * SECOND)
+    meter.over(flow, ENDED, 600 * SECOND)
+    assert [each.reason for each in told] == [*[ACTIVE] * (len(told) - 1), ENDED] and 9 <= len(told) <= 12
+    assert sum(each.forward for each in told) == link.sent and sum(each.reverse for each in told) == link.got
+    assert all(one.last == other.first for one, other in zip(told,
+                                                             told[1:])) and len({d.flow for d in told}) == 1
+    assert meter.octets == link.got + link.sent and not meter.flows and not len(meter.wheel)
+
+
+def test_a_quiet_connection_ends_its_flow_and_begins_another():
+    meter, told = metered()
+    link = Wire()
+    meter.up(link, INGRESS, ENDS, "", "", 0)
+    link.got = 7
+    for now in range(0, 100 * SECOND, SECOND):
+        meter.advance(now)
+        if now == 50 * SECOND:
+            link.sent = 3
+    assert [(each.reason, each.forward, each.reverse) for each in told] == [(IDLE, 7, 0), (IDLE, 0, 3)]
+    assert told[0].flow != told[1].flow and meter.untold() == 0
+
+
+def test_ten_thousand_due_at_once_are_looked_at_in_parts():
+    meter, told = metered()
+    links = [Wire() for _ in range(10_000)]
+    for link in links:
+        meter.up(link, EGRESS, ENDS, "e1", "hall-a", 0)
+        link.got = 1
+    calls = 0
+    for now in range(60 * SECOND, 63 * SECOND, 500):
+        before = len(told)
+        meter.advance(now)
+        assert len(told) - before <= 500
+        calls += len(told) > before
+    assert len(told) == 10_000 and calls >= 20
+
+
+# What is held.
+
+@settings(max_examples=100, deadline=None)
+@given(strategies.lists(strategies.tuples(deltas, strategies.integers(0, 3)), max_size=150))
+def test_nothing_of_the_totals_is_lost_within_the_bound(steps):
+    held, told, under_way = Held(20 * RECORD), 0, []
+    for each, what in steps:
+        each.flow %= 40
+        held.add(each)
+        if what == 0 and (some := held.next()):
+            under_way.append(some)
+        elif what == 1 and under_way:
+            held.give_back([under_way.pop()])
+        elif what == 2 and under_way:
+            told += under_way.pop().octets
+        assert len(held) <= held.most
+        recount = sum(d.octets for table in (held.ended, held.live, held.gathered) for d in table.values())
+        assert held.octets == recount
+        assert held.measured == told + held.octets + sum(d.octets for d in under_way) + held.dropped
+
+
+def test_beyond_the_bound_flows_merge_by_hall_and_engine_before_any_is_dropped():
+    held = Held(20 * RECORD)
+    for n in range(500):
+        held.add(delta(n, engine=f"e{n % 5}"))
+    assert held.dropped == 0 and held.measured == held.octets and held.merged >= 480
+    assert sum(each.flows for each in held.gathered.values()) == held.merged
+    for n in range(500):
+        held.add(delta(n, engine=f"other{n}"))
+    assert held.dropped > 0 and held.measured == held.octets + held.dropped and held.dropped_flows > 0
+
+
+# Whom to tell.
+
+class Desk:
+    """A keeper on a fake clock, with collectors that take everything while they are well."""
+
+    def __init__(self, *datagrams, memory=10 ** 6, seed=1):
+        self.now, self.logged, self.sent, self.opened, self.closed = 0, [], [], [], []
+        self.well = {}
+        self.peers = [Peer(f"c{n}", each, 1400, 300 * SECOND, 1000) for n, each in enumerate(datagrams)]
+        self.well = {peer: True for peer in self.peers}
+        self.full = set()
+        self.held = Held(memory)
+        self.keeper = Keeper(self, Layout(codec.OWN_LAYOUT, "n1"), 7, self.peers, self.held, seed, 0)
+
+    def open(self, peer):
+        self.opened.append((self.now, peer))
+
+    def send(self, peer, data):
+        if peer in self.full:
+            return False
+        self.sent.append((self.now, peer, data))
+        return True
+
+    def close(self, peer):
+        self.closed.append((self.now, peer))
+
+    def log(self, line):
+        self.logged.append(line)
+
+    def run(self, span, step=500, writes=True):
+        for _ in range(span // step):
+            self.now += step
+            for when, peer in [*self.opened]:
+                self.opened.remove((when, peer))
+                if self.well[peer]:
+                    self.keeper.opened(peer, self.now)
+                else:
+                    self.keeper.lost(peer, "refused", self.now)
+            for peer in self.peers:
+                if not self.well[peer] and peer.state != DOWN and peer.datagrams and peer.window:
+                    self.keeper.lost(peer, "Connection refused", self.now)
+                elif writes and not peer.datagrams and peer.state != DOWN:
+                    self.keeper.wrote(peer, peer.put, self.now)
+            self.keeper.tick(self.now)
+            assert self.keeper.difference() == 0 and self.keeper.holding == self.keeper.recount()
+
+    def decoded(self, peer):
+        """Octets by session, as a collector adds them up; templates must come first in each."""
+        decoder, total = Decoder(), 0
+        for _, to, data in self.sent:
+            if to is peer:
+                heard = decoder.message(data)
+                assert not heard.unknown
+                total += octets([heard])
+        return total
+
+
+@pytest.mark.parametrize("datagrams", [True, False])
+def test_a_collector_that_is_down_for_minutes_gets_all_of_it_later(datagrams):
+    desk = Desk(datagrams)
+    desk.well[desk.peers[0]] = False
+    for n in range(1800):
+        desk.keeper.add(delta(n % 50, reason=ACTIVE))
+        desk.run(SECOND // 10, SECOND // 10)
+    assert desk.keeper.told == 0 and len(desk.held) == 50 and desk.held.dropped == 0
+    tries = [when for when, _ in desk.closed]
+    assert 3 <= len(tries) <= 12 and tries[-1] - tries[-2] > 20 * SECOND    # further and further apart
+    assert sum("not reached" in line for line in desk.logged) == 1
+    desk.well[desk.peers[0]] = True
+    desk.run(90 * SECOND)
+    assert desk.keeper.told == 1800 * 150 == desk.held.measured and not len(desk.held)
+
+
+def test_fallback_to_the_next_and_return_to_the_first():
+    desk = Desk(True, False)
+    first, second = desk.peers
+    desk.run(SECOND)
+    assert desk.keeper.active is first
+    desk.well[first] = False
+    for n in range(100):
+        desk.keeper.add(delta(n))
+        desk.run(SECOND // 2)
+    assert desk.keeper.active is second and second.state == UP and desk.decoded(second) > 90 * 150
+    desk.well[first] = True
+    desk.run(80 * SECOND)
+    assert desk.keeper.active is first and second.state == DOWN
+    assert any("takes over" in line for line in desk.logged)
+    assert desk.keeper.told == desk.held.measured
+    total = desk.decoded(first) + desk.decoded(second)
+    # a refused datagram is told again, and so told
+    assert total == desk.held.measured + desk.keeper.repeated
+
+
+def test_a_stream_that_breaks_never_sends_a_torn_message_again():
+    desk = Desk(False)
+    desk.run(SECOND)
+    for n in range(100):
+        desk.keeper.add(delta(n))
+    desk.run(1000, writes=False)
+    peer = desk.peers[0]
+    sent = [data for _, _, data in desk.sent]
+    ends = [sum(map(len, sent[:n + 1])) for n in range(len(sent))]
+    desk.keeper.wrote(peer, ends[-3] + 10, desk.now)    # the last but one is torn, the last has not begun
+    told, unwritten = desk.keeper.told, peer.octets
+    assert unwritten > 0
+    desk.keeper.lost(peer, "reset", desk.now, in_system=11)
+    assert 0 < desk.keeper.unsure < told        # one whole message was in the system's hands
+    # the torn one and the last are told in another session, as new
+    assert desk.held.octets == unwritten
+    desk.run(30 * SECOND)
+    assert desk.keeper.told == desk.held.measured == 100 * 150
+    for _ in range(3):
+        desk.keeper.add(delta(500))
+    desk.run(SECOND)
+    desk.keeper.lost(peer, "reset", desk.now, in_system=10 ** 6)
+    assert desk.keeper.unsure >= 3 * 150        # in the system's hands: nobody knows, so it is told
+
+
+def test_a_stream_that_takes_nothing_is_left_and_a_full_one_keeps_its_place():
+    desk = Desk(False)
+    desk.run(SECOND)
+    peer = desk.peers[0]
+    desk.full.add(peer)
+    desk.keeper.add(delta(1))
+    desk.run(SECOND)
+    assert desk.held.octets == 150 and desk.keeper.told == 0
+    desk.full.clear()
+    desk.run(SECOND)
+    assert desk.keeper.told == 150 and desk.decoded(peer) == 150
+    desk.keeper.add(delta(2))
+    desk.run(8 * SECOND, writes=False)
+    assert "collector c0 lost: it takes nothing" in desk.logged
+
+
+def test_templates_again_on_udp_by_time_and_by_count():
+    desk = Desk(True)
+    desk.peers[0].refresh, desk.peers[0].refresh_after = 20 * SECOND, 10
+    for n in range(80):
+        desk.keeper.add(delta(n))
+        desk.run(SECOND)
+    starts = [when for when, _, data in desk.sent if Decoder().message(data).templates]
+    assert len(starts) >= 8 and max(b - a for a, b in zip(starts, starts[1:])) <= 21 * SECOND
+
+
+def test_gateways_come_back_at_different_moments():
+    moments = set()
+    for seed in range(20):
+        desk = Desk(True, seed=seed)
+        desk.well[desk.peers[0]] = False
+        desk.run(5 * SECOND, 100)
+        moments.add(desk.peers[0].rests_until)
+    assert len(moments) > 10
+
+
+# Real collectors, on loopback; the clock alone is a fake.
+
+class Site:
+    """A house with an exporter, and collectors beside it."""
+
+    def __init__(self, tmp_path, transports=("udp",), layout="own", mode="failover", tls="", contexts=None,
+                 memory=10 ** 6,
+                 active=2):
+        self.premises = Premises(events=[listing(1, {})])
+        self.path, self.layout, self.mode, self.tls, self.memory, self.active = (
+            tmp_path / "operator.xml", layout, mode, tls, memory, active)
+        self.heard, self.bytes = [[] for _ in transports], [[] for _ in transports]
+        self.collectors = [CollectorStandIn(self.premises.hub, each, self.taker(n),
+                                            context=(contexts or {}).get(n))
+                           for n, each in enumerate(transports)]
+        self.exporter = Exporter(self.premises.house, "n1", 7, self.said())
+        self.client = self.engine = None
+        self.tag, self.stream = "e1", 0
+
+    def taker(self, n):
+        def take(heard, data):
+            self.heard[n].append(heard)
+            self.bytes[n].append(data)
+        return take
+
+    def said(self, collectors=None):
+        rows = ""
+        for each in collectors or self.collectors:
+            rows += f'<collector address="127.0.0.1:{each.address[1]}" transport="{each.transport}">'
+            rows += f'{self.tls if each.transport == "tls" else ""}</collector>'
+        self.path.write_text(
+            f'<operator version="1"><flows layout="{self.layout}" mode="{self.mode}" idle="1" '
+            f'active="{self.active}" memory="{self.memory}">{rows}</flows></operator>')
+        return read_operator(str(self.path)).flows
+
+    def serve(self, count):
+        """Submissions, one after the other, each with its answer, on connections of their own."""
+        self.hang_up()
+        self.client, self.engine = self.premises.client(), self.premises.engine(self.tag)
+        for _ in range(count):
+            self.stream += 1
+            self.premises.ask(self.client, request(self.stream))
+            self.premises.engine_says(self.engine, name(self.stream), "DONE", "chunks=1,spent=1,wanted=1",
+                                      "a\t\t\n")
+            assert self.premises.answers(self.client)[-1][2] == b"\1"
+            self.premises.heard(self.engine)
+
+    def hang_up(self):
+        for sock in self.client, self.engine:
+            if sock is not None:
+                sock.close()
+        self.premises.turn()
+
+    def go_on(self, seconds, step=500):
+        self.premises.pass_time(int(seconds * SECOND), step)
+
+    def balanced(self):
+        house = self.premises.house
+        house.auditor.pass_whole()
+        assert not house.findings.held, [each.line() for each in house.findings.held.values()]
+
+    def told(self, n=0):
+        return octets(self.heard[n])
+
+    def carried(self):
+        house = self.premises.house
+        cut = cut_of(house.ledger, house.now, "n1", {"id": "x"})
+        live = sum(got + sent for got, sent, _ in house.records.live_bytes())
+        return live + sum(row["received"] + row["sent"] for row in cut["connections"].values())
+
+
+@pytest.mark.parametrize("layout", KINDS)
+def test_every_record_reaches_a_collector_and_adds_up(tmp_path, layout):
+    site = Site(tmp_path, layout=layout)
+    for _ in range(5):
+        site.serve(3)
+        site.go_on(1)
+    site.hang_up()
+    site.go_on(4)
+    assert site.told() == site.carried() > 1000 and site.collectors[0].wrong == []
+    site.balanced()
+    keeper = site.exporter.keepers["first"]
+    assert keeper.told == keeper.held.measured == site.told() and keeper.repeated == keeper.unsure == 0
+    assert not any(each.missed for each in site.heard[0])
+    if layout != codec.OWN_LAYOUT:
+        templates, total = {"netflow": {}, "ipfix": {}}, 0
+        for data in site.bytes[0]:
+            total += sum(flow.data.get(key, 0) for flow in parse_packet(data.hex(), templates).flows
+                         for key in ("octetDeltaCount", "IN_BYTES", "OUT_BYTES"))
+        assert total == site.carried()
+    else:
+        engines = [record for each in site.heard[0]
+                   for record in each.records if record["flowDirection"] == EGRESS]
+        assert engines and {(each["engineId"], each["hallName"], each["gatewayName"])
+                            for each in engines} == {
+            ("e1", "east", "n1")}
+        assert {option["informationElementName"] for each in site.heard[0] for option in each.options
+                if "informationElementName" in option} >= {"engineId", "hallName"}
+
+
+@pytest.mark.parametrize("transport", ["udp", "tcp"])
+def test_a_collector_that_goes_and_comes_back(tmp_path, transport):
+    site = Site(tmp_path, (transport,))
+    site.go_on(2)
+    site.serve(4)
+    site.go_on(3)
+    site.collectors[0].close()
+    for _ in range(30):
+        site.serve(2)
+        site.go_on(1)
+    site.collectors[0].open()
+    site.go_on(90)
+    keeper = site.exporter.keepers["first"]
+    assert site.collectors[0].wrong == [] and site.collectors[0].sessions >= 2
+    assert keeper.told == keeper.held.measured == site.carried() and keeper.held.dropped == 0
+    lost_or_twice = keeper.unsure + keeper.repeated
+    assert abs(site.told() - site.carried()) <= lost_or_twice < site.carried() / 5
+    site.balanced()
+
+
+def test_a_collector_that_accepts_and_never_reads(tmp_path):
+    site = Site(tmp_path, ("tcp", "udp"))
+    site.collectors[0].deaf = True
+    site.premises.house.stated.idle_time = 10 ** 9
+    for _ in range(400):
+        for n in range(250):        # more than a socket's buffers take
+            site.exporter.keepers["first"].add(delta(site.stream * 10 ** 6 + n))
+        site.stream += 1
+        site.go_on(0.1, 500)
+    keeper = site.exporter.keepers["first"]
+    assert keeper.difference() == 0 and keeper.holding == keeper.recount()
+    assert any("it takes nothing" in line for line in site.premises.logged)
+    assert keeper.active is keeper.peers[1] and site.told(1) > 0 and len(keeper.held) <= keeper.held.most
+
+
+def test_a_collector_that_resets_at_every_template(tmp_path):
+    site = Site(tmp_path, ("tcp",))
+    site.collectors[0].resets_templates = True
+    site.serve(3)
+    site.go_on(20)
+    assert 2 <= site.collectors[0].sessions <= 12       # further and further apart
+    site.balanced()
+    site.collectors[0].resets_templates = False
+    site.go_on(60)
+    keeper = site.exporter.keepers["first"]
+    assert keeper.told == keeper.held.measured == site.carried()
+    assert abs(site.told() - site.carried()) <= keeper.unsure
+
+
+def test_an_engine_replaced_at_its_address_and_the_end_of_the_program(tmp_path):
+    site = Site(tmp_path)
+    site.go_on(1)
+    site.serve(2)
+    site.premises.house.event("2", __import__("json").dumps(listing(
+        2, {"state": "DELETED"}, {"id": "e9"}, full=False)))
+    site.tag = "e9"
+    site.serve(2)
+    site.exporter.end()
+    site.go_on(0.1)
+    site.premises.turn(20)
+    names = Counter(record["engineId"] for each in site.heard[0] for record in each.records
+                    if record["flowDirection"] == EGRESS)
+    assert set(names) == {"e1", "e9"} and site.told() == site.carried()
+
+
+def test_sighup_changes_collectors_without_losing_what_is_held(tmp_path):
+    site = Site(tmp_path, ("udp", "tcp"))
+    site.collectors[0].close()
+    old, new = site.collectors
+    site.exporter.reload(site.said([old]))
+    site.serve(5)
+    site.go_on(5)
+    assert site.exporter.keepers["first"].told == 0
+    site.exporter.reload(site.said([new]))
+    site.go_on(5)
+    assert site.told(1) == site.carried()
+    site.layout = "standard"
+    site.exporter.reload(site.said([new]))
+    site.serve(2)
+    site.go_on(5)
+    site.balanced()
+    assert site.told(1) == site.carried() and site.exporter.keepers["first"].unsure == 0
+
+
+def test_all_collectors_are_told_each_for_itself(tmp_path):
+    site = Site(tmp_path, ("udp", "tcp"), mode="all")
+    site.collectors[1].close()
+    site.go_on(1)
+    site.serve(4)
+    site.go_on(5)
+    assert site.told(0) == site.carried() and site.told(1) == 0
+    site.collectors[1].open()
+    site.go_on(40)
+    assert site.told(1) == site.carried()
+    site.balanced()
+
+
+def test_an_octet_that_no_record_tells_is_found(tmp_path):
+    site = Site(tmp_path)
+    site.serve(1)
+    site.exporter.meter.octets -= 1
+    site.premises.house.auditor.pass_whole()
+    assert ("books differ", "flows measured") in site.premises.house.findings.held
+
+
+# TLS.
+
+def certificate(folder, label, common, issuer=None, days=30, key_mode=0o600, since=-2):
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, common)])
+    now = datetime.now(timezone.utc)
+    built = (x509.CertificateBuilder().subject_name(subject).issuer_name(issuer[1] if issuer else subject)
+             .public_key(key.public_key()).serial_number(x509.random_serial_number())
+             .not_valid_before(now + timedelta(days=since)).not_valid_after(now + timedelta(days=days))
+             .add_extension(x509.BasicConstraints(issuer is None, None), True)
+             .add_extension(x509.SubjectAlternativeName([x509.DNSName(common)]), False)
+             .sign(issuer[0] if issuer else key, hashes.SHA256()))
+    paths = folder / f"{label}.crt", folder / f"{label}.key"
+    paths[0].write_bytes(built.public_bytes(serialization.Encoding.PEM))
+    paths[1].write_bytes(key.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8,
+                                           serialization.NoEncryption()))
+    paths[1].chmod(key_mode)
+    return key, subject, *map(str, paths)
+
+
+def server(ca, own, ask=False):
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(own[2], own[3])
+    if ask:
+        context.load_verify_locations(ca[2])
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def sealed(tmp_path, expected="collector.test", ours=True, **said):
+    ca = certificate(tmp_path, "ca", "ca")
+    own = certificate(tmp_path, "server", "collector.test", ca, **said)
+    mine = certificate(tmp_path, "client", "n1", ca)
+    files = f' certificate="{mine[2]}" key="{mine[3]}"' if ours else ""
+    return Site(tmp_path, ("tls",), tls=f'<tls ca="{ca[2]}" name="{expected}"{files}/>',
+                contexts={0: server(ca, own, True)}), ca
+
+
+def test_records_go_under_tls_with_a_certificate_of_ours_and_a_renewed_one(tmp_path):
+    site, ca = sealed(tmp_path)
+    site.go_on(2)
+    site.serve(3)
+    site.go_on(3)
+    assert site.told() == site.carried() and site.collectors[0].wrong == []
+    renewed = certificate(tmp_path, "client", "n1 renewed", ca)     # the same files, while it sends
+    assert renewed[3].endswith("client.key")
+    site.exporter.reload(site.said())
+    site.serve(3)
+    site.go_on(10)
+    assert site.told() == site.carried() and site.collectors[0].sessions == 2
+    site.balanced()
+
+
+@pytest.mark.parametrize("said, why", [
+    (dict(expected="other.test"), "Hostname mismatch"), (dict(days=-1), "certificate has expired"),
+    (dict(ours=False), "tls|closed|reset"),
+])
+def test_a_collector_that_is_not_who_it_should_be_is_told_nothing(tmp_path, said, why):
+    import re
+    site, _ = sealed(tmp_path, **said)
+    site.serve(3)
+    site.go_on(8)
+    assert site.told() == 0 and re.search(why, " ".join(site.premises.logged))
+    site.balanced()
+
+
+def test_a_key_that_others_may_read_is_refused(tmp_path):
+    ca = certificate(tmp_path, "ca", "ca")
+    mine = certificate(tmp_path, "client", "n1", ca, key_mode=0o644)
+    with pytest.raises(Untrusted, match="its owner alone may read, found 644"):
+        context_of(ca[2], mine[2], mine[3])
+    with pytest.raises(Untrusted, match="nothing.crt"):
+        context_of(str(tmp_path / "nothing.crt"), "", "")
+
+
+@pytest.mark.parametrize("flows, wrong", [
+    ("<flows/>", "collector"), ('<flows><collector address="1.2.3.4:1" transport="x"/></flows>',
+                                "'transport'"),
+    ('<flows layout="netflow9"><collector address="1.2.3.4:1" transport="tcp"/></flows>', "transport udp"),
+    ('<flows><collector address="1.2.3.4:1" transport="tls"/></flows>', "an element tls"),
+    ('<flows><collector address="1.2.3.400:1" transport="udp"/></flows>', "ADDRESS:PORT"),
+    ('<flows><collector address="localhost:1" transport="udp"/></flows>', "'address'"),
+    ('<flows><collector address="1.2.3.4:1" transport="udp" payload="100"/></flows>', "'payload'"),
+    ('<flows><collector address="1.2.3.4:1" transport="udp" payload="65535"/></flows>', "65507"),
+    ('<flows><collector address="1.2.3.4:1" transport="tls"><tls ca="/c" name="n" key="/k"/></collector>'
+     '</flows>',
+     "certificate and key together"),
+    ('<flows><collector address="1.2.3.4:1" transport="udp"/><collector address="1.2.3.4:1" transport="tcp"/>'
+     '</flows>',
+     "different addresses"),
+])
+def test_faulty_flows_in_the_operator_file(tmp_path, flows, wrong):
+    path = tmp_path / "operator.xml"
+    path.write_text(f'<operator version="1">\n{flows}</operator>')
+    with pytest.raises(Faulty) as said:
+        read_operator(str(path))
+    assert wrong in str(said.value) and "operator.xml:2" in str(said.value)
