--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -74,11 +74,11 @@
 
 def scrape():
     from corkgauge.figures import exposition
-    from corkgauge.figures.cut import cut_of, whole
+    from corkgauge.figures.cut import cut_of, with_audit
     from corkgauge.figures.door import json_pieces
     made = books(10_000, 1_000)
     begun = time.perf_counter()
-    cut = whole(cut_of(made.ledger, 1, "n1", {"id": "x", "started": 1}), [(0, 0, 0)] * 2, made.findings, 1)
+    cut = with_audit(cut_of(made.ledger, 1, "n1", {"id": "x", "started": 1}), made.findings, 1)
     print(f"cut of 1,000 engines      {(time.perf_counter() - begun) * 1000:.2f} ms")
     for name, pieces in ("Prometheus text", exposition.pieces(cut)), ("JSON", json_pieces(cut)):
         steps, size = [], 0
--- a/corkgauge/figures/bureau.py
+++ b/corkgauge/figures/bureau.py
@@ -7,7 +7,7 @@
 from typing import Any
 from zlib import crc32
 
-from corkgauge.figures.cut import Cut, cut_of, whole
+from corkgauge.figures.cut import Cut, cut_of, with_audit, with_live
 from corkgauge.net.configuration import Faulty
 from corkgauge.operator import Figures
 
@@ -51,7 +51,7 @@
     def cut(self) -> Cut:
         """One consistent cut, as readers get it."""
         house = self.house
-        cut = whole(self._counts(), house.records.live_bytes(), house.findings, house.auditor.passes)
+        cut = with_audit(self._counts(), house.findings, house.auditor.passes)
         if house.waits is not None:
             cut["waits"] = house.waits.told()
         if house.flows is not None:
@@ -73,7 +73,8 @@
         self._close()
 
     def _counts(self) -> Cut:
-        return cut_of(self.house.ledger, self.house.hub.now, self.gateway, self.epoch)
+        counts = cut_of(self.house.ledger, self.house.hub.now, self.gateway, self.epoch)
+        return with_live(counts, self.house.records.live_bytes())
 
     def _open(self, said: Figures) -> None:
         if said.listen is None:
--- a/corkgauge/figures/cut.py
+++ b/corkgauge/figures/cut.py
@@ -67,13 +67,17 @@
     return {**ledger.engines, departed.name: departed}
 
 
-def whole(cut: Cut, live_bytes: Sequence[tuple[int, int, int]], findings: Findings, passes: int) -> Cut:
-    """A cut with what is asked for beside its counts. `live_bytes` holds, by side, what connections that are
-    up have received and sent, and their pages."""
+def with_live(cut: Cut, live_bytes: Sequence[tuple[int, int, int]]) -> Cut:
+    """A cut with, by side, what connections that are up have received and sent, and their pages."""
     for row, (got, sent, pages) in zip(cut["connections"].values(), live_bytes):
         row["received"] += got
         row["sent"] += sent
         row["pages"] += pages
+    return cut
+
+
+def with_audit(cut: Cut, findings: Findings, passes: int) -> Cut:
+    """A cut with what does not add up."""
     cut["audit"] = {"passes": passes, "alarm": findings.alarm, "untold": findings.untold, "findings": [
         {"kind": each.kind, "row": each.row, "difference": each.difference, "first": each.first,
          "last": each.last, "times": each.times, "detail": each.detail, "events": each.events}
@@ -182,6 +186,6 @@
 
 def closed_epoch(cut: Cut) -> Cut:
     """What is kept of an epoch that is over: its totals by offering, with what was open as cut off."""
-    return {"epoch": cut["epoch"], "until": cut["at"], "offerings": {
+    return {"epoch": cut["epoch"], "until": cut["at"], "connections": cut["connections"], "offerings": {
         name: {**{term: row[term] for term in TERMS}, "cut_off": row["open"]}
         for name, row in cut["offerings"].items()}}
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -3,18 +3,27 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
+from collections import Counter
 
 import pytest
 from click.testing import CliRunner
+from netflow import parse_packet
 
 from corkgauge.commands import group
 from corkgauge.commands.soak import SCRIPT, growth, scenes_of
+from corkgauge.figures.shelf import read_file
+from corkgauge.flow.codec import Layout
+from corkgauge.flow.delta import Delta
+from corkgauge.flow.elements import EGRESS
+from corkgauge.flow.session import Session
 from corkgauge.net.hub import SECOND
 from corkgauge.standins import rules
 from corkgauge.standins.clients import Ask
+from corkgauge.standins.collector import CollectorStandIn
 from corkgauge.standins.engines import Run
 from corkgauge.standins.play import STAKES, WANTS, Play, settings
 from corkgauge.standins.program import Program, free_port
@@ -194,3 +203,78 @@
     with pytest.raises(Unplayable) as said:
         read(f"# a comment\n{line}", ["e1"])
     assert "line 2: " in str(said.value) and wrong in str(said.value)
+
+
+# Flow export of the real program.
+
+FLOWS = """<operator version="1"><figures><listen unix="{folder}/figures.sock"/>
+<keep folder="{folder}/kept" each="0.1"/></figures>
+<flows layout="%s" active="2" idle="1"><collector address="127.0.0.1:%d" transport="%s"/></flows>
+</operator>"""
+
+
+@pytest.mark.parametrize("layout, transport", [("own", "tcp"), ("standard", "udp")])
+def test_flows_of_a_bad_day_add_up_to_the_programs_own_counts(layout, transport):
+    scenes = read("at 1 for 2: e1 silent\nat 2: e2 reset\nat 3 for 2: e1 restart\nat 6: program restart",
+                  ["e1", "e2"])
+    play, heard = Play(4, scenes, engines=2, rate=80, scrapes=5, hangs_up=0.01, operator=""), []
+    collector = CollectorStandIn(play.hub, transport, lambda message, data: heard.append((message, data)))
+    path = os.path.join(play.folder, "operator.xml")
+    with open(path, "w", encoding="utf-8") as file:
+        file.write((FLOWS % (layout, collector.address[1], transport)).replace("{folder}", play.folder))
+    play.program.arguments += ["--operator", path]
+    play.hub.later(int(3.5 * SECOND), collector.close)
+    play.hub.later(int(4.5 * SECOND), collector.open)
+    try:
+        play.run(9, drain=2)
+        play.until(play.hub.now + SECOND // 5)
+        kept, log = read_file(play.kept()), play.program.log()
+        last = play.cuts[-1]["flows"]["first"]
+    finally:
+        play.close()
+    assert collector.wrong == [] and play.wrong == [] and not any("out of balance" in line for line in log)
+    carried = [sum(row["received"] + row["sent"] for row in epoch["connections"].values())
+               for epoch in (*kept["earlier"], kept["cut"])]
+    told = sum(record["octetDeltaCount"] + record.get("reverseOctetDeltaCount", 0)
+               for message, _ in heard for record in message.records)
+    assert len(carried) == 2 and last["dropped"] == 0
+    assert abs(told - sum(carried)) <= 0.01 * sum(carried)
+    first = [message for message, _ in heard if message.sequence == 0 and message.templates]
+    # at a start, after the outage
+    assert len(first) >= 3 and len({message.domain for message, _ in heard}) == 1
+    if layout == "standard":
+        templates = {"netflow": {}, "ipfix": {}}
+        theirs = sum(flow.data.get("octetDeltaCount", 0) for _, data in heard
+                     for flow in parse_packet(data.hex(), templates).flows)
+        assert theirs == told
+
+
+def test_a_collector_of_ones_own_writes_and_reports(tmp_path):
+    rows = tmp_path / "rows.json"
+    port = free_port()
+    listener = subprocess.Popen([sys.executable, "-m", "corkgauge", "flows", "listen", "--port", str(port),
+                                 "--seconds", "3", "--write", str(rows), "--capture",
+                                 str(tmp_path / "capture")],
+                                stderr=subprocess.PIPE, text=True, cwd=os.path.dirname(HERE))
+    assert "listening" in listener.stderr.readline()
+    session = Session(Layout("own", "n1"), 7, 1400, 0)
+    queue = [Delta(n, EGRESS, 4, bytes(4), 1, bytes(4), 2, f"e{n % 2}", "hall-a", 1000 * n, 1000 * n + 900,
+                   10, 5, 3)
+             for n in range(20)]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        for data in (*session.introduction(0, Counter()),
+                     session.data(0, lambda: queue.pop(0) if queue else None)[0]):
+            sock.sendto(data, ("127.0.0.1", port))
+    assert listener.wait(20) == 0
+    run = CliRunner().invoke
+    said = run(group, ["flows", "report", str(rows), "--json", "--span", "10"])
+    assert [(each["engine"], sum(span["there"] for span in each["spans"]))
+            for each in json.loads(said.output)] == [
+        ("e0", 100), ("e1", 100)]
+    assert run(group, ["flows", "report", str(rows)]).exit_code == 0
+    dumped = run(group, ["flows", "dump", str(tmp_path / "capture")])
+    assert dumped.exit_code == 0 and dumped.output.count("engineId=e1") == 10
+    rows.write_text("{}\n")
+    assert run(group, ["flows", "report", str(rows)]).exit_code == 2
+    (tmp_path / "capture").write_bytes(b"\0\0\0\4nope")
+    assert run(group, ["flows", "dump", str(tmp_path / "capture")]).exit_code == 1
