--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -3,6 +3,7 @@
 import ssl
 from collections import Counter
 from datetime import datetime, timedelta, timezone
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -29,6 +30,7 @@
 from corkgauge.net.configuration import Faulty
 from corkgauge.operator import read as read_operator
 from corkgauge.standins.collector import CollectorStandIn
+from fuzz.decoder import changed, one, seeds
 from tests.yard import Premises, listing, name, request
 
 SECOND = 10_000
@@ -798,3 +800,13 @@
     with pytest.raises(Faulty) as said:
         read_operator(str(path))
     assert wrong in str(said.value) and "operator.xml:2" in str(said.value)
+
+
+@pytest.mark.parametrize("path", sorted((Path(__file__).parent.parent / "fuzz" / "seeds").glob("*.bin")),
+                         ids=lambda path: path.stem)
+def test_seeds_of_the_fuzzer(path):
+    chance, known, decoder = Random(3), seeds(), Decoder()
+    one(decoder, path.read_bytes())
+    for _ in range(200):
+        one(decoder, changed(path.read_bytes(), known, chance))
+    assert len(decoder.templates) <= 1000 and len(decoder.expected) <= 1001
