--- a/fuzz/decoder.py
+++ b/fuzz/decoder.py
@@ -24,7 +24,7 @@
 
 
 def changed(data: bytes, others: list[bytes], chance: Random) -> bytes:
-    """Octets set to edges or at random, pieces cut, doubled, or taken from another; lengths often put right."""
+    """Octets set, pieces cut, doubled or taken from another, often with lengths put right."""
     bad = bytearray(data)
     for _ in range(chance.randint(1, 6)):
         at, what = chance.randrange(len(bad) + 1), chance.randrange(6)
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -145,8 +145,8 @@
         theirs = [flow.data for data in messages for flow in parse_packet(data.hex(), templates).flows
                   if "observationDomainId" not in flow.data]
         assert len(mine) == len(theirs) >= 3
-        for one, other in zip(mine, theirs):
-            assert sorted(str(value) for key, value in one.items() if "Address" not in key) == sorted(
+        for ours_, other in zip(mine, theirs):
+            assert sorted(str(value) for key, value in ours_.items() if "Address" not in key) == sorted(
                 str(value) for key, value in other.items() if "ADDR" not in key and "Address" not in key)
 
 
