--- a/corkgauge/flow/wheel.py
+++ b/corkgauge/flow/wheel.py
@@ -15,8 +15,8 @@
     >>> class Entry: due = 0
     >>> wheel, one, two = Wheel(8, 10), Entry(), Entry()
     >>> wheel.put(one, 25); wheel.put(two, 125)
-    >>> [each is one for each in wheel.advance(40)], [*wheel.advance(100)], [each is two for each in
-    wheel.advance(130)] ([True], [], [True])
+    >>> [*wheel.advance(40)] == [one], [*wheel.advance(100)], [*wheel.advance(130)] == [two]
+    (True, [], True)
     """
 
     def __init__(self, slots: int, span: int, now: int = 0) -> None:
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -695,6 +695,22 @@
     site.balanced()
 
 
+def test_a_clock_that_is_set_back_by_an_hour(tmp_path):
+    site = Site(tmp_path)
+    site.go_on(2)
+    site.serve(3)
+    site.go_on(2)
+    site.premises.time -= 3600 * SECOND
+    site.serve(3)
+    site.premises.time += 3600 * SECOND
+    site.go_on(3)
+    times = [each.exported for each in site.heard[0]]
+    records = [record for each in site.heard[0] for record in each.records]
+    assert times == sorted(times) and site.told() == site.carried()
+    assert all(each["flowStartMilliseconds"] <= each["flowEndMilliseconds"] for each in records)
+    site.balanced()
+
+
 def test_an_octet_that_no_record_tells_is_found(tmp_path):
     site = Site(tmp_path)
     site.serve(1)
