Flow export: statistics each half minute without templates; a stream is told those once

Cause: the keeper sent its whole introduction every 30 s, so the time between two sendings of templates was never the stated one, and a stream got them again and again (RFC 7011, 8.1: once). Statistics that found no room kept the numbers they were given, and a collector saw a gap. Change: Session.report for statistics alone; the numbers of a message that did not go are the next one's. Measured: five messages in 130 s of which one has templates; no gap after a stream that was full for 40 s.

--- a/corkgauge/flow/keeper.py
+++ b/corkgauge/flow/keeper.py
@@ -211,7 +211,8 @@
                                or session.since_then >= peer.refresh_after):
             self._introduce(peer, now)
         elif now >= self.told_at + TELL_EACH:
-            self._introduce(peer, now)
+            self.told_at = now
+            self._send(peer, session.report(now // 10, self.statistics()), [], now)
         for _ in range(most):
             if not len(self.held):
                 return
@@ -230,7 +231,7 @@
         if not self.host.send(peer, data):
             # Danger: a stream that is full takes no part of a message; its records wait on.
             self.held.give_back(told)
-            peer.session.sequence -= 1 if self.layout.v9 else self._records(told)
+            peer.session.unsent()
             return False
         if peer.put == peer.written:
             peer.moved = now    # it had nothing to take until now
@@ -241,9 +242,6 @@
         self.bytes += len(data)
         return True
 
-    def _records(self, told: list[Delta]) -> int:
-        return sum(len(self.layout.records(delta, self.began // 10)) for delta in told)
-
     def _settle(self, peer: Peer, now: int) -> None:
         """What has arrived, as far as can be known, is told."""
         while peer.window:
--- a/corkgauge/flow/session.py
+++ b/corkgauge/flow/session.py
@@ -16,7 +16,7 @@
 
     def __init__(self, layout: Layout, domain: int, limit: int, up_since: int) -> None:
         self.layout, self.domain, self.limit, self.up_since = layout, domain, limit, up_since
-        self.sequence = 0
+        self.sequence = self.before = 0     # of the next message; of the last one made
         self.introduced = -1        # when the templates went out last
         self.since_then = 0         # messages since
 
@@ -35,6 +35,12 @@
         self.introduced, self.since_then = now, 0
         return [self._finished(each, now) for each in (*made, message)]
 
+    def report(self, now: int, statistics: dict[str, int]) -> bytes:
+        """How export goes, without templates: a stream is told those once (RFC 7011, 8.1)."""
+        message = Message(self.layout.v9, self.limit)
+        message.add(STATISTICS, self.layout.statistics(self.domain, statistics))
+        return self._finished(message, now)
+
     def data(self, now: int, next_: Callable[[], Delta | None]) -> tuple[bytes, list[Delta], Delta | None]:
         """One message of as many deltas as fit, those, and the one that did not; `next_` gives the next one,
         or None. Any one fits an empty message."""
@@ -52,6 +58,10 @@
         self.since_then += 1
         return self._finished(message, now), told, delta
 
+    def unsent(self) -> None:
+        """The last message did not go: its numbers are the next one's."""
+        self.sequence = self.before
+
     def farewell(self, now: int) -> bytes:
         """All templates withdrawn; for streams, before others take their place."""
         self.introduced = -1
@@ -59,6 +69,7 @@
 
     def _finished(self, message: Message, now: int) -> bytes:
         # IPFIX counts data records before this message, NetFlow v9 messages.
+        self.before = self.sequence
         data = message.data(now, self.up_since, self.sequence, self.domain)
         self.sequence += 1 if self.layout.v9 else message.count
         return data
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -470,9 +470,12 @@
     desk.keeper.add(delta(1))
     desk.run(SECOND)
     assert desk.held.octets == 150 and desk.keeper.told == 0
+    desk.run(40 * SECOND)       # statistics came due meanwhile, and found no room either
     desk.full.clear()
-    desk.run(SECOND)
+    desk.run(40 * SECOND)
     assert desk.keeper.told == 150 and desk.decoded(peer) == 150
+    decoder = Decoder()
+    assert not any(decoder.message(data).missed for _, _, data in desk.sent)    # numbers of what never went
     desk.keeper.add(delta(2))
     desk.run(8 * SECOND, writes=False)
     assert "collector c0 lost: it takes nothing" in desk.logged
@@ -488,6 +491,17 @@
     assert len(starts) >= 8 and max(b - a for a, b in zip(starts, starts[1:])) <= 21 * SECOND
 
 
+@pytest.mark.parametrize("datagrams", [True, False])
+def test_statistics_go_each_half_minute_and_templates_of_a_stream_once(datagrams):
+    desk = Desk(datagrams)
+    desk.run(130 * SECOND)
+    decoder = Decoder()
+    heard = [decoder.message(data) for _, _, data in desk.sent]
+    assert [each.templates > 0 for each in heard] == [True, *[False] * (len(heard) - 1)] and len(heard) == 5
+    assert all(option["observationDomainId"] == 7 for each in heard for option in each.options
+               if "observationDomainId" in option) and not any(each.missed for each in heard)
+
+
 def test_gateways_come_back_at_different_moments():
     moments = set()
     for seed in range(20):
