Flow export: what a stream still holds when it is left counts as repeated

Cause, found in reading: a stream that is left drains its ring for up to a second, while its messages that were not yet written are held again; the collector may get them and be told again, and nothing counted that. Change: those octets count as repeated. A test fails without it.

--- a/corkgauge/flow/keeper.py
+++ b/corkgauge/flow/keeper.py
@@ -156,6 +156,8 @@
     def _release(self, peer: Peer, now: int) -> None:
         """Nothing more goes to it: what is on its way counts as told, what is not goes elsewhere."""
         self._settle(peer, now + SETTLED if peer.datagrams else now)
+        # Danger: a stream's ring still has a while to leave, so these may arrive, and are told again.
+        self.repeated += peer.octets
         self.held.give_back([delta for _, _, deltas in peer.window for delta in deltas])
         peer.window.clear()
         peer.octets = 0
--- a/corkgauge/recall/keeping.py
+++ b/corkgauge/recall/keeping.py
@@ -119,7 +119,7 @@
                                                 for each in self.house.stated.offerings if each.ordered}
         for effect in unsettled:
             # Danger: it may run on, and the next of its key would run beside it. It was given up with its
-            # connection, # at the latest when the program before ended; so its key rests as after a reset.
+            # connection, at the latest when the program before ended; so its key rests as after a reset.
             if effect.key and effect.offering in ordered:
                 gateway.key_rests(effect.key, now + gateway.settle)
         self.serial = max(self.effects.by_serial, default=0)
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -462,6 +462,15 @@
     assert desk.keeper.unsure >= 3 * 150        # in the system's hands: nobody knows, so it is told
 
 
+def test_what_a_stream_still_holds_when_it_is_left_counts_as_repeated():
+    desk = Desk(False)
+    desk.run(SECOND)
+    desk.keeper.add(delta(1))
+    desk.run(1000, writes=False)
+    desk.keeper.renew(desk.peers, desk.keeper.layout, desk.now)
+    assert desk.keeper.repeated == 150 == desk.held.octets and desk.keeper.difference() == 0
+
+
 def test_a_stream_that_takes_nothing_is_left_and_a_full_one_keeps_its_place():
     desk = Desk(False)
     desk.run(SECOND)
