An operator file is taken whole at SIGHUP: what was taken of a faulty one is put back

Cause, found in reading: figures moved their listener before flows found their certificate missing, and the line said that the file was not taken. Change: what had been taken gets its old element back. A test fails without it.

--- a/corkgauge/net/program.py
+++ b/corkgauge/net/program.py
@@ -111,6 +111,7 @@
             said = operator.read(self.path)
         except Faulty as problem:
             return self.house.log(f"operator file not taken: {problem}")
+        taken = []
         for name, running in ("figures", self.bureau), ("flows", self.exporter):
             element = getattr(said, name)
             if (element is None) != (running is None):
@@ -118,7 +119,11 @@
             elif running is not None:
                 try:
                     running.reload(element)
+                    taken.append((running, getattr(self.said, name)))
                 except Faulty as problem:
+                    # Danger: half of a file in force is neither the old nor the new one.
+                    for other, before in taken:
+                        other.reload(before)
                     return self.house.log(f"operator file not taken: {problem}")
         if said.recall != self.said.recall:
             self.house.log("operator file: recall changed, in force after a restart")
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -5,6 +5,7 @@
 from datetime import datetime, timedelta, timezone
 from pathlib import Path
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from cryptography import x509
@@ -28,6 +29,7 @@
 from corkgauge.flow.tls import Untrusted, context_of
 from corkgauge.flow.wheel import Wheel
 from corkgauge.net.configuration import Faulty
+from corkgauge.net.program import Beside
 from corkgauge.operator import read as read_operator
 from corkgauge.standins.collector import CollectorStandIn
 from fuzz.decoder import changed, one, seeds
@@ -734,6 +736,23 @@
     site.balanced()
 
 
+def test_an_operator_file_is_taken_whole_or_not_at_all(tmp_path):
+    premises, path = Premises(), tmp_path / "operator.xml"
+
+    def write(sock, inner=""):
+        transport = "tls" if inner else "udp"
+        path.write_text(f'<operator version="1"><figures><listen unix="{tmp_path}/{sock}"/></figures><flows>'
+                        f'<collector address="127.0.0.1:9" transport="{transport}">{inner}</collector>'
+                        '</flows></operator>')
+    write("one")
+    beside = Beside(premises.house, SimpleNamespace(name="n1", seed=7, mark=1), str(path))
+    write("two", f'<tls ca="{tmp_path}/nothing.crt" name="x"/>')
+    beside.reload()
+    assert "operator file not taken: flows:" in premises.logged[-1]
+    assert beside.bureau.door.where == f"{tmp_path}/one" and not (tmp_path / "two").exists()
+    assert beside.exporter.said.collectors[0].transport == "udp"
+
+
 def test_an_octet_that_no_record_tells_is_found(tmp_path):
     site = Site(tmp_path)
     site.serve(1)
