One place above hosts and subsystems; hub, link, ring and log beneath them; frames as a front

Need: figures, flow and recall imported hub, link, log and configuration from net, and net/program imported them back; each further subsystem would have added two such arrows, and the host held what any front needs beside what the platform's frames need. A command whose extra is missing ends with 2 and one line that names the remedy (it was a traceback).

--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -22,9 +22,9 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT))
 
-from corkgauge.figures import terms     # noqa: E402
-from corkgauge.figures.auditor import SLICE     # noqa: E402
-from tests.test_figures import Books, Record    # noqa: E402
+from corkgauge.figures import terms  # noqa: E402
+from corkgauge.figures.auditor import SLICE  # noqa: E402
+from tests.test_figures import Books, Record  # noqa: E402
 
 
 def books(open_, engines):
--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -24,13 +24,13 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT))
 
-from corkgauge.flow import codec    # noqa: E402
+from corkgauge.flow import codec  # noqa: E402
 from corkgauge.flow.delta import Delta  # noqa: E402
-from corkgauge.flow.held import Held    # noqa: E402
-from corkgauge.flow.meter import SLOT, SLOTS    # noqa: E402
+from corkgauge.flow.held import Held  # noqa: E402
+from corkgauge.flow.meter import SLOT, SLOTS  # noqa: E402
 from corkgauge.flow.session import Session  # noqa: E402
 from corkgauge.flow.wheel import Wheel  # noqa: E402
-from corkgauge.net.hub import SECOND    # noqa: E402
+from corkgauge.loop.hub import SECOND  # noqa: E402
 
 
 def deltas(count):
--- a/benchmarks/recall.py
+++ b/benchmarks/recall.py
@@ -22,9 +22,9 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT))
 
-from corkgauge.net.hub import SECOND    # noqa: E402
-from corkgauge.standins.clients import Want     # noqa: E402
-from corkgauge.standins.play import Play     # noqa: E402
+from corkgauge.loop.hub import SECOND  # noqa: E402
+from corkgauge.standins.clients import Want  # noqa: E402
+from corkgauge.standins.play import Play  # noqa: E402
 from corkgauge.standins.script import read  # noqa: E402
 
 NAMES = [f"e{n}" for n in range(1, 7)]
--- a/corkgauge/commands/__init__.py
+++ b/corkgauge/commands/__init__.py
@@ -41,5 +41,21 @@
     """
 
 
+# What an extra brings: a module that is missing names it.
+EXTRAS = {"operator": {"ddsketch", "cryptography", "h11", "lxml", "msgpack", "prometheus_client", "rich",
+                       "xxhash"},
+          "reports": {"matplotlib", "numpy", "pyarrow"}}
+
+
 def main() -> int:
-    return group.main(prog_name="corkgauge", standalone_mode=True) or 0
+    """Danger: a traceback tells an operator nothing of what to install."""
+    try:
+        return group.main(prog_name="corkgauge", standalone_mode=True) or 0
+    except ModuleNotFoundError as problem:
+        name = (problem.name or "").partition(".")[0]
+        extra = next((extra for extra, modules in EXTRAS.items() if name in modules), None)
+        if extra is None:
+            raise
+        print(f"corkgauge: {name} is not installed; the remedy: pip install 'corkgauge[{extra}]'",
+              file=sys.stderr)
+        return MISUSE
--- a/corkgauge/commands/check.py
+++ b/corkgauge/commands/check.py
@@ -4,8 +4,8 @@
 
 import click
 
+from corkgauge import configuration
 from corkgauge.commands import Faulted
-from corkgauge.net import configuration
 
 
 @click.command("check")
@@ -19,7 +19,7 @@
     """
     try:
         post = configuration.read(os.environ)
-        from corkgauge.net import program
-        raise SystemExit(program.check(post, operator_file))
+        from corkgauge import daemon
+        raise SystemExit(daemon.check(post, operator_file))
     except configuration.Faulty as problem:
         raise Faulted(str(problem)) from None
--- a/corkgauge/commands/flows.py
+++ b/corkgauge/commands/flows.py
@@ -79,7 +79,7 @@
     Ends with 1 if anything came that could not be decoded.
     """
     from corkgauge.flow.rows import rows_of
-    from corkgauge.net.hub import SECOND, Hub
+    from corkgauge.loop.hub import SECOND, Hub
     from corkgauge.standins.collector import CollectorStandIn
 
     hub, count = Hub(), [0, 0, 0]
--- a/corkgauge/commands/serve.py
+++ b/corkgauge/commands/serve.py
@@ -4,8 +4,8 @@
 
 import click
 
+from corkgauge import configuration
 from corkgauge.commands import Faulted
-from corkgauge.net import configuration
 
 
 @click.command("serve")
@@ -22,7 +22,7 @@
     """
     try:
         post = configuration.read(os.environ)
-        from corkgauge.net import program
-        raise SystemExit(program.serve(post, operator_file, log_form))
+        from corkgauge import daemon
+        raise SystemExit(daemon.serve(post, operator_file, log_form))
     except configuration.Faulty as problem:
         raise Faulted(str(problem)) from None
--- a/corkgauge/commands/soak.py
+++ b/corkgauge/commands/soak.py
@@ -33,7 +33,7 @@
 
 def scenes_of(text: str, seconds: float, engines: list[str]) -> list:
     """A script's scenes, again each round."""
-    from corkgauge.net.hub import SECOND
+    from corkgauge.loop.hub import SECOND
     from corkgauge.standins.script import Scene, read
     once = read(text, engines)
     return [Scene(scene.at + n * ROUND * SECOND, scene.span, scene.who, scene.trouble, scene.figure,
--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -14,9 +14,27 @@
 from struct import pack
 from zlib import crc32
 
-from corkgauge.interface import (CALLED_OFF, ERROR, FULL, HONOURED, LABELLED, NEVER_RAN, PROGRESS, READY,
-                                 REDOABLE, RESET, TIMED_OUT, UNREACHED, Engine, HandOff, Host, Offering,
-                                 Queue, Submission, View)
+from corkgauge.interface import (
+    CALLED_OFF,
+    ERROR,
+    FULL,
+    HONOURED,
+    LABELLED,
+    NEVER_RAN,
+    PROGRESS,
+    READY,
+    REDOABLE,
+    RESET,
+    TIMED_OUT,
+    UNREACHED,
+    Engine,
+    HandOff,
+    Host,
+    Offering,
+    Queue,
+    Submission,
+    View,
+)
 
 SECOND, MOMENT = 10_000, 200    # a figure of many samples stands for a moment
 PERIOD = 2 * SECOND     # of the feedback
--- a/corkgauge/net/program.py
+++ b/corkgauge/daemon.py
@@ -11,16 +11,18 @@
 import signal
 import socket
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from loguru import logger
 
-from corkgauge.net import configuration, log
-from corkgauge.net.configuration import Faulty, Post
+from corkgauge import configuration
+from corkgauge.configuration import Faulty, Post
+from corkgauge.loop import log
+from corkgauge.loop.hub import READ, SECOND, Hub
 from corkgauge.net.feed import Feed
+from corkgauge.net.frames import FramesHouse
 from corkgauge.net.host import Aside, House, stated_of
-from corkgauge.net.hub import READ, SECOND, Hub
 
 BACKLOG = 4096
 MOST_MEMORY = 0.75      # of its limit, before garbage is collected
@@ -84,6 +86,30 @@
             self.house.hub.spawn(self.feed.run)
 
 
+# A subsystem is one entry: its element of the operator file, and what starts it from that. What is started
+# has `reload(said)`, which takes a new element or raises Faulty and changes nothing, and `end()`; it may have
+# `leave()`, called at SIGTERM while all that is open still ends.
+
+
+def _figures(house: House, post: Post, said: Any) -> Any:
+    from corkgauge.figures.bureau import Bureau
+    return Bureau(house, post.name, post.seed, said)
+
+
+def _recall(house: House, post: Post, said: Any) -> Any:
+    from corkgauge.recall.keeping import Keeping
+    return Keeping(house, post.name, post.mark, said)
+
+
+def _flows(house: House, post: Post, said: Any) -> Any:
+    from corkgauge.flow.exporter import Exporter
+    return Exporter(house, post.name, post.seed, said)
+
+
+SUBSYSTEMS: dict[str, Callable[[House, Post, Any], Any]] = {
+    "figures": _figures, "recall": _recall, "flows": _flows}
+
+
 class Beside:
     """What an operator file switches on. Without one nothing of it is imported."""
 
@@ -91,18 +117,8 @@
         from corkgauge import operator
         self.house, self.path = house, path
         self.said = operator.read(path)
-        self.bureau: Any = None
-        if self.said.figures is not None:
-            from corkgauge.figures.bureau import Bureau
-            self.bureau = Bureau(house, post.name, post.seed, self.said.figures)
-        self.keeping: Any = None
-        if self.said.recall is not None:
-            from corkgauge.recall.keeping import Keeping
-            self.keeping = Keeping(house, post.name, post.mark, self.said.recall)
-        self.exporter: Any = None
-        if self.said.flows is not None:
-            from corkgauge.flow.exporter import Exporter
-            self.exporter = Exporter(house, post.name, post.seed, self.said.flows)
+        self.running = {name: start(house, post, getattr(self.said, name))
+                        for name, start in SUBSYSTEMS.items() if getattr(self.said, name) is not None}
 
     def reload(self) -> None:
         """Read it again, whole or not at all."""
@@ -112,8 +128,8 @@
         except Faulty as problem:
             return self.house.log(f"operator file not taken: {problem}")
         taken = []
-        for name, running in ("figures", self.bureau), ("flows", self.exporter):
-            element = getattr(said, name)
+        for name in SUBSYSTEMS:
+            element, running = getattr(said, name), self.running.get(name)
             if (element is None) != (running is None):
                 self.house.log(f"operator file: {name} switched, in force after a restart")
             elif running is not None:
@@ -125,14 +141,18 @@
                     for other, before in taken:
                         other.reload(before)
                     return self.house.log(f"operator file not taken: {problem}")
-        if said.recall != self.said.recall:
-            self.house.log("operator file: recall changed, in force after a restart")
         self.said = said
 
+    def leave(self) -> None:
+        """The program is told to end, and goes on for a while."""
+        for running in self.running.values():
+            if hasattr(running, "leave"):
+                running.leave()
+
     def end(self) -> None:
-        for running in self.exporter, self.bureau, self.keeping:
-            if running is not None:
-                running.end()
+        """In the reverse order: what stands on another ends before it."""
+        for running in reversed(self.running.values()):
+            running.end()
 
 
 def check(post: Post, operator_file: str = "") -> int:
@@ -140,7 +160,7 @@
     if operator_file:
         from corkgauge import operator
         operator.read(operator_file)
-    house = House(Hub(), post, lambda line: print(f"corkgauge: {line}", file=sys.stderr))
+    house = FramesHouse(Hub(), post, lambda line: print(f"corkgauge: {line}", file=sys.stderr))
     print(f"{post.name}: {len(house.stations)} engines, {len(house.offerings)} offerings, "
           f"{len(house.tenants)} tenants, list {house.last_event}")
     return 0
@@ -153,7 +173,7 @@
                level="INFO", backtrace=False, diagnose=False)
     hub = Hub()
     hub.troubled = Troubles(hub)
-    house = House(hub, post, logger.info, memory_held())
+    house = FramesHouse(hub, post, logger.info, memory_held())
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
@@ -196,6 +216,8 @@
                     logger.info(f"counters {house.counters.line(house.ledger.line())} {hub.worst()}")
                 else:   # as a timer: Danger: what either raises must not end this task
                     hub.later(0, *((feed.reload, os.environ) if sign == signal.SIGHUP else (house.leave,)))
+                    if beside is not None and sign != signal.SIGHUP:
+                        hub.later(0, beside.leave)
 
     def collect() -> None:
         """Danger: a collection stops all for 100 ms; it waits until memory is short, and then for a while."""
--- a/corkgauge/figures/bureau.py
+++ b/corkgauge/figures/bureau.py
@@ -7,8 +7,8 @@
 from typing import Any
 from zlib import crc32
 
+from corkgauge.configuration import Faulty
 from corkgauge.figures.cut import Cut, cut_of, with_audit, with_live
-from corkgauge.net.configuration import Faulty
 from corkgauge.operator import Figures
 
 
--- a/corkgauge/figures/door.py
+++ b/corkgauge/figures/door.py
@@ -17,7 +17,7 @@
 import h11
 
 from corkgauge.figures.cut import Cut
-from corkgauge.net.hub import READ, SECOND, WRITE, Hub
+from corkgauge.loop.hub import READ, SECOND, WRITE, Hub
 
 PATIENCE = 5 * SECOND   # that a reader has for its request, and for each piece of the answer
 IDLE = 60 * SECOND      # that it may keep a connection without asking
--- a/corkgauge/figures/ledger.py
+++ b/corkgauge/figures/ledger.py
@@ -11,10 +11,31 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from corkgauge.figures.finding import (CLOSED_TWICE, ENTERED_TWICE, HAND_CLOSED_TWICE, HAND_ENTERED_TWICE,
-                                       HAND_NEVER_ENTERED, NEVER_ENTERED, OVER_BUDGET)
-from corkgauge.figures.terms import (AT_THE_DOOR, CLIENT, DEPARTED_ROW, FIRST, GIVEN_UP, NOT_READ, OUTCOMES,
-                                     REASONS, SIDES, SORTS, TERM_OF, TERMS, UNUSABLE, UNUSABLE_ROW)
+from corkgauge.figures.finding import (
+    CLOSED_TWICE,
+    ENTERED_TWICE,
+    HAND_CLOSED_TWICE,
+    HAND_ENTERED_TWICE,
+    HAND_NEVER_ENTERED,
+    NEVER_ENTERED,
+    OVER_BUDGET,
+)
+from corkgauge.figures.terms import (
+    AT_THE_DOOR,
+    CLIENT,
+    DEPARTED_ROW,
+    FIRST,
+    GIVEN_UP,
+    NOT_READ,
+    OUTCOMES,
+    REASONS,
+    SIDES,
+    SORTS,
+    TERM_OF,
+    TERMS,
+    UNUSABLE,
+    UNUSABLE_ROW,
+)
 
 LAST_EVENTS = 512       # kept in all, to show what happened around a mistake
 SLICES = 50             # of the budget's window; counts of submissions are kept by slice
--- a/corkgauge/flow/decoder.py
+++ b/corkgauge/flow/decoder.py
@@ -11,8 +11,16 @@
 from typing import Any
 
 from corkgauge.flow.codec import IPFIX_HEADER, IPFIX_VERSION, SET_HEADER, V9_HEADER, V9_VERSION
-from corkgauge.flow.elements import (ADDRESS, DATA_TYPES, KNOWN, MILLISECONDS, STRING, UNSIGNED, VARIABLE,
-                                     Element)
+from corkgauge.flow.elements import (
+    ADDRESS,
+    DATA_TYPES,
+    KNOWN,
+    MILLISECONDS,
+    STRING,
+    UNSIGNED,
+    VARIABLE,
+    Element,
+)
 
 MOST_TEMPLATES = 1000   # of all domains
 MOST_TYPES = 1000
--- a/corkgauge/flow/exporter.py
+++ b/corkgauge/flow/exporter.py
@@ -8,6 +8,7 @@
 from typing import Any
 from zlib import crc32
 
+from corkgauge.configuration import Faulty
 from corkgauge.flow.codec import Layout
 from corkgauge.flow.delta import Delta
 from corkgauge.flow.elements import ENDED, FORCED, INGRESS
@@ -16,7 +17,6 @@
 from corkgauge.flow.meter import Flow, Meter
 from corkgauge.flow.tls import Untrusted, context_of
 from corkgauge.flow.transports import Datagrams, Stream
-from corkgauge.net.configuration import Faulty
 from corkgauge.operator import Collector, Flows
 
 TICK = 500              # tenths of a millisecond
--- a/corkgauge/flow/tls.py
+++ b/corkgauge/flow/tls.py
@@ -8,7 +8,7 @@
 import ssl
 from typing import Any
 
-from corkgauge.net.ring import Allowance, Ring
+from corkgauge.loop.ring import Allowance, Ring
 
 ROOM = 262_144
 RECORD = 17_408         # a TLS record and what its framing may add
--- a/corkgauge/flow/transports.py
+++ b/corkgauge/flow/transports.py
@@ -13,9 +13,9 @@
 
 from corkgauge.flow.keeper import SECOND, Keeper, Peer
 from corkgauge.flow.tls import TlsWire
-from corkgauge.net.hub import READ, Hub
-from corkgauge.net.link import Link, dial
-from corkgauge.net.ring import Allowance, Ring
+from corkgauge.loop.hub import READ, Hub
+from corkgauge.loop.link import Link, dial
+from corkgauge.loop.ring import Allowance, Ring
 
 ROOM = 131_072          # of a stream's messages that wait for the socket
 
--- a/corkgauge/net/link.py
+++ b/corkgauge/loop/link.py
@@ -8,7 +8,7 @@
 import socket
 from typing import Any
 
-from corkgauge.net.hub import BROKEN, READ, WRITE, Hub
+from corkgauge.loop.hub import BROKEN, READ, WRITE, Hub
 
 ROUNDS = 2          # reads in a row, before others have their turn
 MOST_READ = 16_384  # bytes of one
--- a/corkgauge/net/client_wire.py
+++ b/corkgauge/net/client_wire.py
@@ -7,7 +7,7 @@
 from struct import Struct
 from typing import Any
 
-from corkgauge.net.ring import Allowance, Ring
+from corkgauge.loop.ring import Allowance, Ring
 
 LARGEST = 262_144       # a frame's length field at most; it counts all that follows it
 HEADER, STREAM, NAME, VALUE = Struct("<IBI"), Struct("<BI"), Struct("<B"), Struct("<H")
--- a/corkgauge/net/clients.py
+++ b/corkgauge/net/clients.py
@@ -13,9 +13,9 @@
 
 from corkgauge.figures.terms import CLIENT, CLIENT_GONE, CUT_OFF, NOT_READ, TURNED_OUT, WITHDRAWN
 from corkgauge.interface import Submission
+from corkgauge.loop.link import NEVER, Link
 from corkgauge.net import client_wire
 from corkgauge.net.client_wire import ANSWER, FAILED, REFUSED, ClientWire, frame_head
-from corkgauge.net.link import NEVER, Link
 
 MOST_OPEN = 32          # submissions on one client connection
 STUCK = 15_000          # that a client may take over one frame, and before its first is whole
--- a/corkgauge/net/engine_wire.py
+++ b/corkgauge/net/engine_wire.py
@@ -7,7 +7,7 @@
 import re
 from typing import Any
 
-from corkgauge.net.ring import Allowance, Ring
+from corkgauge.loop.ring import Allowance, Ring
 
 LARGEST = 16_384        # an answer, with a page of 6,000 bytes, in any framing
 COMMAND = 262_144 + 4_096   # a command, with a statement as large as a client's frame
--- a/corkgauge/net/engines.py
+++ b/corkgauge/net/engines.py
@@ -11,10 +11,10 @@
 
 from corkgauge.figures.terms import ENGINE
 from corkgauge.interface import ERROR, FULL, MOOT, READY, RESET, TIMED_OUT, UNREACHED, Engine, HandOff
+from corkgauge.loop.hub import SECOND
+from corkgauge.loop.link import NEVER, Link, dial
 from corkgauge.net.clients import Order
 from corkgauge.net.engine_wire import EngineWire, command
-from corkgauge.net.hub import SECOND
-from corkgauge.net.link import NEVER, Link, dial
 
 MID_ANSWER = 3_000      # that an engine may take over one answer, once it has begun
 SIGN, NO_SIGN = 5_000, 5_000    # quiet of a link with hand-offs out until it is asked for a sign; its time
--- a/corkgauge/net/feed.py
+++ b/corkgauge/net/feed.py
@@ -5,9 +5,9 @@
 
 from typing import Any
 
+from corkgauge.loop.hub import SECOND
+from corkgauge.loop.link import Link, dial
 from corkgauge.net import feed_wire
-from corkgauge.net.hub import SECOND
-from corkgauge.net.link import Link, dial
 
 LEAST_PAUSE, MOST_PAUSE = SECOND // 20, SECOND // 2     # between two dials of a feed that does not come up
 FEED_SILENT = 15_000    # a comment comes each second
--- a/corkgauge/net/feed_wire.py
+++ b/corkgauge/net/feed_wire.py
@@ -6,7 +6,7 @@
 
 from typing import Any
 
-from corkgauge.net.ring import Allowance, Ring
+from corkgauge.loop.ring import Allowance, Ring
 
 LARGEST = 262_144       # a line, so an event with the whole list
 
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -6,47 +6,43 @@
 """
 
 import json
-import re
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
+from corkgauge.configuration import Faulty, Post, address
 from corkgauge.figures.auditor import Auditor
 from corkgauge.figures.finding import Findings
 from corkgauge.figures.ledger import Ledger
-from corkgauge.figures.terms import CLIENT, DEPARTED_ROW, reason_of, sort_of
-from corkgauge.interface import (CALLED_OFF, DRAINING, GONE, HONOURED, LABELLED, MOOT, READY, Engine, HandOff,
-                                 Submission)
-from corkgauge.net import client_wire
+from corkgauge.figures.terms import DEPARTED_ROW, reason_of, sort_of
+from corkgauge.interface import (
+    CALLED_OFF,
+    DRAINING,
+    GONE,
+    HONOURED,
+    LABELLED,
+    MOOT,
+    READY,
+    Engine,
+    HandOff,
+    Submission,
+)
+from corkgauge.loop.hub import SECOND, Hub
+from corkgauge.loop.ring import Allowance
 from corkgauge.net.client_wire import FAILED, REFUSED, SERVED
-from corkgauge.net.clients import MOST_FAULTS, MOST_OPEN, Caller, Order, unread
-from corkgauge.net.configuration import Faulty, Post, address
+from corkgauge.net.clients import Order
 from corkgauge.net.counters import Counters
 from corkgauge.net.engine_wire import MOST_PAGE, page
-from corkgauge.net.engines import ENDS, NAME, EngineLink, Errand, Station, outcome_of
-from corkgauge.net.hub import SECOND, Hub
-from corkgauge.net.link import NEVER
+from corkgauge.net.engines import ENDS, EngineLink, Errand, Station, outcome_of
 from corkgauge.net.records import Records
-from corkgauge.net.ring import Allowance
-from corkgauge.net.statement import tables_of
 from corkgauge.stated import Stated
 
 MOST_RESULT = 48_000    # bytes of one result
 MOST_PAGES = 64
 PAGE_TIME = 2_500       # that an engine may take over the next page of a result
 UNTOLD = 3              # times that an engine should have told of a hand-off, until that counts as lost
-ROOM = 16               # connections that give way at once
-HEAVIEST = 3.6e6        # milliseconds of work that any submission may claim
-# After the signal to end: the longest expiry counts for so much at most; the rest is the page's 0.7 s, less
-# what it takes to write the last answers. Until then submissions still come.
-MOST_EXPIRY, TO_WRITE, STILL_COMING = 3 * SECOND, 4_000, 9_000
-# Clients write submissions of one key so far apart, and so long after one that came on a new connection.
-APART, APART_NEW, ARRIVAL = 600, 2_500, 100
 LEAST_ROOM = 4 * 2 ** 20
 AUDIT_EACH, AUDIT_PAUSE = SECOND, 20    # between two passes over the books; between two slices of one
-PLAIN = re.compile(r"[!-+\-.-<>-~]{1,128}").fullmatch
-KEY = re.compile(r"[0-9a-fA-F]{1,16}").fullmatch
-BLANK = re.compile(rb"\s*+").fullmatch
 STATES = {"SERVING": READY, "DRAINING": DRAINING, "DELETED": GONE}
 NOTES = {"advance": 1, "disk": 2, "stall": 3}
 
@@ -78,15 +74,11 @@
         room = max(post.memory - held, LEAST_ROOM) // 2
         self.rings, self.lines, self.results, self.statements = (Allowance(room // 4) for _ in range(4))
         self.links_most = post.sockets // 3     # a third is the clients', a third stays free
-        self.end = NEVER        # when the last answer goes, once the program is told to end
-        self.callers: dict[Caller, None] = {}
-        self.most_callers = post.sockets // 2   # a third is the usual ones'
         self.names: dict[str, Submission] = {}  # of what is open
         self.stations: dict[str, Station] = {}
         self.errands: dict[HandOff, Errand] = {}
         self.page_line: deque[Errand] = deque()
         self.ended: deque[Submission] = deque()
-        self.keys: dict[int, tuple[int, int, bool]] = {}    # when one came, kept back how long, on a new link
         self.stated = stated_of(post, self)
         self.gateway = self.stated.gateway
         self.most_memory = max(self.stated.sizes, default=1e6)
@@ -179,109 +171,6 @@
 
     # Clients.
 
-    def make_room(self) -> bool:
-        """Danger: connections that say nothing, or nothing more, would keep others at the door. Those that
-        never asked for anything give way first, then those that have been quiet longest."""
-        quiet = sorted((caller for caller in self.callers if caller.idle()),
-                       key=lambda each: (not each.link.parting, each.link.machine.whole > 0, each.link.heard))
-        for caller in quiet[:ROOM]:
-            self.counters["gave way"] += 1
-            caller.link.parting = False
-            caller.link.end("room for others")
-        return bool(quiet)
-
-    def accepted(self, sock: Any) -> None:
-        caller = Caller(self, sock)
-        self.callers[caller] = None
-        self.ledger.connection_up(CLIENT)
-        if self.flows is not None:
-            self.flows.up(caller.link, CLIENT)
-        self.hub.spawn(caller.link.run)
-        if self.end != NEVER:
-            caller.link.send(client_wire.leaving())
-
-    def leave(self) -> None:
-        """The program is to end: no new submissions are asked for, and all that is open ends in time."""
-        if self.end != NEVER:
-            return
-        longest = max(offering.expiry for offering in self.stated.offerings)
-        self.end = self.now + min(longest, MOST_EXPIRY) + TO_WRITE
-        subs = [sub for caller in self.callers for sub in caller.open.values()]
-        self.log(f"leaving by {self.end}, {len(subs)} open")
-        for caller in [*self.callers]:
-            caller.link.send(client_wire.leaving())
-        for sub in subs:
-            self.hub.later(self.end - self.now, self.gateway.expiry_near, sub)
-        self.hub.later(STILL_COMING, self.gone)
-
-    def gone(self) -> None:
-        """End as soon as nothing is owed and all is written, or when it must be."""
-        # Danger: what has come and lies unread is taken all the same.
-        owed = any(each.open or each.waiting or len(each.link.machine.outward) or unread(each.link.sock)
-                   for each in self.callers if each.link.fd >= 0)
-        if owed and self.now < self.end + TO_WRITE // 4:
-            self.hub.later(100, self.gone)
-        else:
-            self.hub.stopped = True
-
-    def requested(self, caller: Caller, stream: int, fields: dict[str, str], body: bytes) -> str:
-        # Danger: what it says is a stranger's; nothing of it may raise.
-        self.forget()
-        offering = self.offerings.get(fields.get("route", ""))
-        tenant = self.tenants.get(fields.get("customer", ""))
-        life, work, memory = (amount(fields.get(name) or "0") for name in ("patience", "weight", "est_mb"))
-        name, key, nonce = fields.get("trace", ""), fields.get("entity") or "0", fields.get("nonce", "")
-        # Danger: an engine closes on what it cannot use, with all that others have open there. A figure that
-        # is named must be one; an id names one submission; nobody waits much longer than its offering lets it
-        # (a little longer is no fault: a good client's clock and ours differ, and it adds its own way to us).
-        wrong = ("route" if offering is None else "customer" if tenant is None and self.tenants else
-                 "patience" if not life or life * 10 > 2 * offering.expiry else
-                 "weight" if work is None or work > HEAVIEST or fields.get("weight") and not work else
-                 "est_mb" if memory is None or memory > self.most_memory else
-                 "entity" if not KEY(key) else "trace" if not NAME(name) or name in self.names else
-                 "nonce" if not plain(nonce or ("" if offering.repeat == LABELLED else "-")) else
-                 "statement" if not text(body) else "")
-        if wrong:
-            return caller.unreadable(stream, f"{wrong}: unusable")
-        key, label = int(key, 16), nonce if offering.repeat == LABELLED else ""
-        order = Order(caller, stream, name, label, body, self.rows[offering])
-        if (len(caller.open) >= MOST_OPEN or len(self.names) >= self.stated.open_cap or
-                not self.statements.take(order.size)):
-            self.counters["overfull"] += 1
-            caller.faults += len(caller.open) >= MOST_OPEN
-            self.ledger.turned_away(self.rows[offering])
-            caller.answer(stream, REFUSED, [])
-            return "" if caller.faults <= MOST_FAULTS else "too many open at once"
-        life = min(int(life * 10), self.end - self.now)
-        # Danger: with a full processor it has waited unread, and its client counts that.
-        life = max(life - self.held_back(key, stream == 1) - self.lag, 1)
-        sub = Submission(order, offering, tenant or 0, tables_of(body), self.now, life, int(work * 10),
-                         float(memory), key)
-        if self.recall is not None and label:
-            self.recall.mark_known(sub, label)
-        caller.open[stream] = self.names[name] = sub
-        self.ledger.taken(order)
-        caller.fresh.append(sub)
-        if len(caller.fresh) == 1:
-            self.hub.unsent.append(caller.admit)
-        return ""
-
-    def held_back(self, key: int, new: bool) -> int:
-        """How long a client may have kept back a submission after its stamp, to keep those of a key apart.
-
-        Danger: its patience counts from the stamp, so the last moment would come after its expiry.
-        """
-        if not key:
-            return 0
-        came, held, was_new = self.keys.pop(key, (-SECOND, 0, False))
-        gap = self.now - came
-        held = held + APART if gap < APART + ARRIVAL else 0
-        if was_new and gap < APART_NEW + ARRIVAL:
-            held = max(held, APART_NEW)
-        self.keys[key] = self.now, held, new
-        while self.now - next(iter(self.keys.values()))[0] > APART_NEW + ARRIVAL:
-            del self.keys[next(iter(self.keys))]
-        return held
 
     def final(self, submission: Submission, code: int, body: list[bytes], reason: int = -1) -> None:
         order = submission.tag
@@ -542,28 +431,6 @@
     return value if 0 <= value < 1e12 else None
 
 
-def text(statement: bytes) -> bool:
-    """May it go on to an engine?
-
-    >>> text(b"select 1"), text(b""), text(b" "), text(b"a" + bytes(1)), text(bytes([255]))
-    (True, False, False, False, False)
-    """
-    try:
-        statement.decode()
-    except UnicodeDecodeError:
-        return False
-    return b"\0" not in statement and BLANK(statement) is None
-
-
-def plain(text: str) -> bool:
-    """May it stand in a command's fields unchanged?
-
-    >>> plain("9b1f03aa"), plain(""), plain("a,b"), plain("a=b"), plain("a b"), plain("x" * 129)
-    (True, False, False, False, False, False)
-    """
-    return PLAIN(text) is not None
-
-
 def inflight_of(report: str, otherwise: float) -> float:
     """
     >>> inflight_of("inflight:7;util:0.61", -1.0), inflight_of("", 3.0), inflight_of("inflight:x", -1.0)
--- a/corkgauge/operator.py
+++ b/corkgauge/operator.py
@@ -11,8 +11,8 @@
 
 from lxml import etree
 
-from corkgauge.net.configuration import Faulty
-from corkgauge.net.hub import SECOND
+from corkgauge.configuration import Faulty
+from corkgauge.loop.hub import SECOND
 
 LARGEST = 2 ** 20       # bytes of a file
 MOST_DATAGRAM = 65_507  # octets of a datagram, on IPv4
--- a/corkgauge/recall/keeping.py
+++ b/corkgauge/recall/keeping.py
@@ -13,7 +13,7 @@
 
 from corkgauge.figures.shelf import safe
 from corkgauge.interface import NEVER_RAN, RESET, Engine, HandOff
-from corkgauge.net.hub import READ, SECOND
+from corkgauge.loop.hub import READ, SECOND
 from corkgauge.operator import Recall
 from corkgauge.recall import effects, learned, snapshot, writer
 from corkgauge.recall.ageing import age_of, inf
@@ -175,6 +175,11 @@
     def _pack(self, body: dict[str, Any]) -> None:
         self._put(SNAPSHOT, snapshot.packed(body))
 
+    def reload(self, said: Recall) -> None:
+        """Danger: a folder that changes under an open log would leave effects that nobody finds again."""
+        if said != self.said:
+            self.house.log("operator file: recall changed, in force after a restart")
+
     def end(self) -> None:
         """The program ends in order."""
         self.ending = True
--- a/corkgauge/standins/clients.py
+++ b/corkgauge/standins/clients.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from corkgauge.loop.hub import SECOND, Hub
+from corkgauge.loop.link import dial
 from corkgauge.net.client_wire import FAILED, REFUSED, SERVED
-from corkgauge.net.hub import SECOND, Hub
-from corkgauge.net.link import dial
 from corkgauge.standins.chance import Chance
 from corkgauge.standins.listener import linked
 from corkgauge.standins.machines import ClientSide, ready_question, request, withdrawal
--- a/corkgauge/standins/collector.py
+++ b/corkgauge/standins/collector.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from corkgauge.flow.decoder import Decoder, Heard, Malformed, Stream
-from corkgauge.net.hub import READ, Hub
-from corkgauge.net.ring import Allowance, Ring
+from corkgauge.loop.hub import READ, Hub
+from corkgauge.loop.ring import Allowance, Ring
 from corkgauge.standins.listener import ABORTED, Listener, linked
 
 
--- a/corkgauge/standins/engines.py
+++ b/corkgauge/standins/engines.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from corkgauge.loop.hub import SECOND, Hub
 from corkgauge.net.engine_wire import command
-from corkgauge.net.hub import SECOND, Hub
 from corkgauge.standins.chance import Chance
 from corkgauge.standins.listener import Listener, linked
 from corkgauge.standins.machines import EngineDoor
--- a/corkgauge/standins/feed.py
+++ b/corkgauge/standins/feed.py
@@ -6,7 +6,7 @@
 import json
 from typing import Any
 
-from corkgauge.net.hub import SECOND, Hub
+from corkgauge.loop.hub import SECOND, Hub
 from corkgauge.standins.listener import Listener, linked
 from corkgauge.standins.machines import FeedDoor
 
--- a/corkgauge/standins/listener.py
+++ b/corkgauge/standins/listener.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from corkgauge.net.hub import READ, Hub
-from corkgauge.net.link import Link
+from corkgauge.loop.hub import READ, Hub
+from corkgauge.loop.link import Link
 
 ABORTED = struct.pack("ii", 1, 0)
 
--- a/corkgauge/standins/machines.py
+++ b/corkgauge/standins/machines.py
@@ -5,11 +5,20 @@
 
 from typing import Any
 
-from corkgauge.net.client_wire import (ANSWER, HEADER, LEAVING, NAME, READY, READY_ASKED, REQUEST, STREAM,
-                                       VALUE,
-                                       WITHDRAWN)
+from corkgauge.loop.ring import Allowance, Ring
+from corkgauge.net.client_wire import (
+    ANSWER,
+    HEADER,
+    LEAVING,
+    NAME,
+    READY,
+    READY_ASKED,
+    REQUEST,
+    STREAM,
+    VALUE,
+    WITHDRAWN,
+)
 from corkgauge.net.engine_wire import array
-from corkgauge.net.ring import Allowance, Ring
 
 PLENTY = 64 * 2 ** 20
 
--- a/corkgauge/standins/play.py
+++ b/corkgauge/standins/play.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from corkgauge.figures.cut import Cut, differences, shrunk
-from corkgauge.net.hub import SECOND, Hub
+from corkgauge.loop.hub import SECOND, Hub
 from corkgauge.standins import rules
 from corkgauge.standins.clients import ClientStandIn, Want
 from corkgauge.standins.engines import EngineStandIn
--- a/corkgauge/standins/rules.py
+++ b/corkgauge/standins/rules.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from corkgauge.loop.hub import SECOND
 from corkgauge.net.client_wire import SERVED
-from corkgauge.net.hub import SECOND
 from corkgauge.standins.clients import Ask
 from corkgauge.standins.engines import REMEMBERED, Run
 
--- a/corkgauge/standins/scraper.py
+++ b/corkgauge/standins/scraper.py
@@ -10,7 +10,7 @@
 
 import h11
 
-from corkgauge.net.hub import READ, SECOND, WRITE, Hub
+from corkgauge.loop.hub import READ, SECOND, WRITE, Hub
 
 PATIENCE = 2 * SECOND
 
--- a/corkgauge/standins/script.py
+++ b/corkgauge/standins/script.py
@@ -11,7 +11,7 @@
 
 from dataclasses import dataclass
 
-from corkgauge.net.hub import SECOND
+from corkgauge.loop.hub import SECOND
 from corkgauge.standins.engines import TROUBLES
 
 PROGRAM = "kill", "restart", "reload"
--- a/tests/damaged.py
+++ b/tests/damaged.py
@@ -106,17 +106,17 @@
 
 
 def damage_tables(what):
-    from corkgauge.net.host import House
-    audit, begun = House.audit, time.time()
+    from corkgauge.net.frames import FramesHouse
+    audit, begun = FramesHouse.audit, time.time()
 
     def hurt(self):
         ready = self.errands and self.names and time.time() > begun + AFTER
         if ready:
-            House.audit = audit
+            FramesHouse.audit = audit
             print(f"damaged {time.time():.3f} {hurt_tables(self, what)}", file=sys.stderr, flush=True)
             self.auditor.pass_whole()   # some of it is over before the next pass
         self.hub.later(500, self.audit) if not ready else audit(self)
-    House.audit = hurt
+    FramesHouse.audit = hurt
 
 
 def play(what):
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -20,7 +20,7 @@
 from corkgauge.flow.delta import Delta
 from corkgauge.flow.elements import EGRESS
 from corkgauge.flow.session import Session
-from corkgauge.net.hub import SECOND
+from corkgauge.loop.hub import SECOND
 from corkgauge.standins import rules
 from corkgauge.standins.clients import Ask
 from corkgauge.standins.collector import CollectorStandIn
@@ -106,7 +106,7 @@
 
 
 def test_nothing_of_the_figures_door_is_loaded_without_an_operator_file(tmp_path):
-    code = ("import sys; from corkgauge.commands.serve import command; from corkgauge.net import program; "
+    code = ("import sys; from corkgauge.commands.serve import command; from corkgauge import daemon; "
             "print([name for name in sys.modules if name.split('.')[0] in ('lxml', 'h11', 'xxhash', "
             "'msgpack', 'prometheus_client', 'ddsketch', 'rich') or name == 'corkgauge.operator'])")
     assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == "[]\n"
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -11,6 +11,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from corkgauge.commands import group
+from corkgauge.configuration import Faulty
 from corkgauge.figures import epoch, exposition, terms
 from corkgauge.figures.auditor import Auditor
 from corkgauge.figures.bureau import Bureau
@@ -20,8 +21,7 @@
 from corkgauge.figures.ledger import Ledger
 from corkgauge.figures.shelf import Shelf, read_file
 from corkgauge.figures.waits import Waits, quantile
-from corkgauge.net.configuration import Faulty
-from corkgauge.net.log import event_of
+from corkgauge.loop.log import event_of
 from corkgauge.operator import read as read_operator
 from tests.yard import SECOND, Premises, listing, name, request
 
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -15,6 +15,8 @@
 from hypothesis import given, settings, strategies
 from netflow import parse_packet
 
+from corkgauge.configuration import Faulty
+from corkgauge.daemon import Beside
 from corkgauge.figures.cut import cut_of
 from corkgauge.flow import codec
 from corkgauge.flow.codec import Field, Layout, Message, Template, template_set
@@ -28,8 +30,6 @@
 from corkgauge.flow.session import Session
 from corkgauge.flow.tls import Untrusted, context_of
 from corkgauge.flow.wheel import Wheel
-from corkgauge.net.configuration import Faulty
-from corkgauge.net.program import Beside
 from corkgauge.operator import read as read_operator
 from corkgauge.standins.collector import CollectorStandIn
 from fuzz.decoder import changed, one, seeds
@@ -749,8 +749,8 @@
     write("two", f'<tls ca="{tmp_path}/nothing.crt" name="x"/>')
     beside.reload()
     assert "operator file not taken: flows:" in premises.logged[-1]
-    assert beside.bureau.door.where == f"{tmp_path}/one" and not (tmp_path / "two").exists()
-    assert beside.exporter.said.collectors[0].transport == "udp"
+    assert beside.running["figures"].door.where == f"{tmp_path}/one" and not (tmp_path / "two").exists()
+    assert beside.running["flows"].said.collectors[0].transport == "udp"
 
 
 def test_an_octet_that_no_record_tells_is_found(tmp_path):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,19 +2,23 @@
 
 import gc
 import json
+import os
 import random
 import socket
+import subprocess
+import sys
 
 import pytest
 
+from corkgauge import configuration
+from corkgauge.daemon import Source
 from corkgauge.interface import DRAINING, MOOT, READY
-from corkgauge.net import configuration, feed_wire
+from corkgauge.loop.hub import Hub
+from corkgauge.loop.link import dial
+from corkgauge.loop.ring import Allowance, Ring
+from corkgauge.net import feed_wire
 from corkgauge.net.client_wire import ClientWire
 from corkgauge.net.engine_wire import EngineWire, command
-from corkgauge.net.hub import Hub
-from corkgauge.net.link import dial
-from corkgauge.net.program import Source
-from corkgauge.net.ring import Allowance, Ring
 from corkgauge.net.statement import tables_of
 from tests.yard import SECOND, STATED_ON_SOCKETS, Premises, listing, name, request
 
@@ -487,7 +491,7 @@
 def test_no_descriptor_for_a_dial_is_a_value(monkeypatch):
     def full(*_):
         raise OSError(24, "Too many open files")
-    monkeypatch.setattr("corkgauge.net.link.socket.socket", full)
+    monkeypatch.setattr("corkgauge.loop.link.socket.socket", full)
     assert dial(Hub(), ("127.0.0.1", 1), SECOND) == (None, "EMFILE")
 
 
@@ -672,8 +676,8 @@
     said = {"listen": "127.0.0.1:1", "feed": "127.0.0.1:2", "settings": STATED_ON_SOCKETS, **change}
     (tmp_path / "c.json").write_text(json.dumps(said))
     with pytest.raises(configuration.Faulty, match=key):
-        from corkgauge.net.host import House
-        House(Hub(), configuration.read({"EDGE_CONFIG": str(tmp_path / "c.json")}), print)
+        from corkgauge.net.frames import FramesHouse
+        FramesHouse(Hub(), configuration.read({"EDGE_CONFIG": str(tmp_path / "c.json")}), print)
 
 
 @pytest.mark.parametrize("text", ["", "{", "[1]"])
@@ -682,3 +686,11 @@
     for environment in ({}, {"EDGE_CONFIG": str(tmp_path / "c.json")}, {"EDGE_CONFIG": "/nowhere/at/all"}):
         with pytest.raises(configuration.Faulty, match="EDGE_CONFIG"):
             configuration.read(environment)
+
+
+def test_a_command_whose_extra_is_missing_names_the_remedy(tmp_path):
+    (tmp_path / "rich").mkdir()
+    (tmp_path / "rich" / "__init__.py").write_text("raise ModuleNotFoundError('gone', name='rich')")
+    said = subprocess.run([sys.executable, "-m", "corkgauge", "try", "--seconds", "1"], capture_output=True,
+                          text=True, env={**os.environ, "PYTHONPATH": str(tmp_path)})
+    assert said.returncode == 2 and said.stderr.count("\n") == 1 and "corkgauge[operator]" in said.stderr
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,8 +2,20 @@
 
 import pytest
 
-from corkgauge.interface import (CALLED_OFF, DRAINING, ERROR, FULL, GONE, HONOURED, IRREVERSIBLE, LABELLED,
-                                 REDOABLE, RESET, TIMED_OUT, UNREACHED)
+from corkgauge.interface import (
+    CALLED_OFF,
+    DRAINING,
+    ERROR,
+    FULL,
+    GONE,
+    HONOURED,
+    IRREVERSIBLE,
+    LABELLED,
+    REDOABLE,
+    RESET,
+    TIMED_OUT,
+    UNREACHED,
+)
 from tests.yard import QUICK, SECOND, Yard
 
 ORDERED = {**QUICK, "name": "ordered", "repeat": LABELLED, "ordered": True, "remembered": 20 * SECOND}
--- a/tests/yard.py
+++ b/tests/yard.py
@@ -3,13 +3,13 @@
 import socket
 import traceback
 
+from corkgauge.configuration import Post
 from corkgauge.control import Gateway
 from corkgauge.interface import HONOURED, READY, Engine, Offering, Submission
-from corkgauge.net.configuration import Post
+from corkgauge.loop.hub import Hub
 from corkgauge.net.engine_wire import command
 from corkgauge.net.engines import EngineLink, Station
-from corkgauge.net.host import House
-from corkgauge.net.hub import Hub
+from corkgauge.net.frames import FramesHouse
 
 SECOND = 10_000
 QUICK = dict(name="quick", aim=SECOND, stretch=1.0, expiry=5 * SECOND, worth=1.0)
@@ -123,7 +123,7 @@
         self.time, self.logged = 10 ** 9, []
         self.hub = Hub(clock=lambda: self.time, troubled=lambda: self.logged.append(traceback.format_exc()))
         Station.dial = lambda station, where: None      # no engine listens here: `engine` joins them by hand
-        self.house = House(self.hub, Post(said, ""), self.logged.append)
+        self.house = FramesHouse(self.hub, Post(said, ""), self.logged.append)
         self.turn()
 
     def turn(self, rounds=6):
