--- a/corkgauge/net/engines.py
+++ b/corkgauge/net/engines.py
@@ -217,8 +217,11 @@
                 break
             self.waiting.popleft()
         most = self.house.links_each()
+        # Danger: hundreds of gateways that dial each engine ahead, most of which they send nothing, cost the
+        # engines more than they ask. So the first link waits for a hand-off, and a further one until two had
+        # to share.
         spare = len(self.links) < min(most, SPREAD) and all(each.open for each in self.links) and (
-            self.house.now >= self.spare_from)
+            any(len(each.open) > 1 for each in self.links) and self.house.now >= self.spare_from)
         if (self.waiting or spare) and not self.dialling and len(self.links) < most:
             self.dialling = True
             self.house.hub.spawn(self.dial, self.address)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,6 +19,7 @@
 from corkgauge.net import feed_wire
 from corkgauge.net.client_wire import ClientWire
 from corkgauge.net.engine_wire import EngineWire, command
+from corkgauge.net.engines import Station
 from corkgauge.net.statement import tables_of
 from tests.yard import SECOND, STATED_ON_SOCKETS, Premises, listing, name, request
 
@@ -694,3 +695,23 @@
     said = subprocess.run([sys.executable, "-m", "corkgauge", "try", "--seconds", "1"], capture_output=True,
                           text=True, env={**os.environ, "PYTHONPATH": str(tmp_path)})
     assert said.returncode == 2 and said.stderr.count("\n") == 1 and "corkgauge[operator]" in said.stderr
+
+
+def test_engines_are_dialled_when_something_goes_there_and_again_when_two_had_to_share():
+    premises, dialled = Premises((listing(1, {}, {"id": "e2", "addr": "127.0.0.9:2"}),)), []
+
+    def dial(station, where):
+        dialled.append(station.engine.name)
+        station.dialling = False
+    Station.dial = dial
+    premises.turn()
+    assert dialled == []        # hundreds of gateways that dial all engines ahead cost more than what they ask
+    client = premises.client()
+    premises.ask(client, request(1))
+    assert len(dialled) == 1
+    engine = premises.engine(dialled[0])
+    premises.turn()
+    assert len(dialled) == 1 and b"fetch" in engine.recv(4096)
+    for stream in (3, 5, 7):    # of four, two at least share a link
+        premises.ask(client, request(stream))
+    assert len(dialled) > 1
