--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -78,7 +78,8 @@
         self.number, self.gateways, self.stride = number, gateways, max(1, int(gateways * 0.618))
         self.extra = (extra_floor, extra_share, extra_span) if extra_span else OWN_EXTRA
         self.engines: list[Engine] = []
-        self.last: deque[tuple[View, float]] = deque()      # hand-offs: where, and usual work
+        self.last: deque[tuple[View, float, float]] = deque()   # hand-offs: where, usual work, table group
+        self.groups: dict[float, float] = {}    # usual work among them, by table group
         self.orders: dict[float, list[Engine]] = {}
         self.queues: dict[tuple[int, Offering], Queue] = {}
         self.lines: dict[int, deque[Submission]] = {}       # by key, in the order taken
@@ -294,7 +295,15 @@
             return None
         usual, tried = self._usual_slowness(), [h.engine for h in sub.handoffs]
         order = self._order(sub.tables)
-        even = EVEN * sum(e.view.drawn for e in order) / max(sum(e.cores for e in order), 1)
+        drawn, work = sum(e.view.drawn for e in order), sub.offering.usual
+        even = EVEN * drawn / max(sum(e.cores for e in order), 1)
+        wide = home = 0
+        if thin := self.slots * max((e.cores for e in order), default=0) < 1.0:
+            # Danger: hundreds of gateways with a few submissions each all send a group's first one to the same
+            # engine. A group needs as many homes as its part of the work is engines; each begins at its own.
+            wide = EVEN * len(order) * (self.groups.get(sub.tables, 0.0) + work) / (drawn + work)
+            wide = min(max(int(wide), 1), len(order))
+            home = crc32(pack("<Qd", self.number, sub.tables)) * wide >> 32
         # Danger: engines that fail, are silent or refuse. Never all of them at once: when none does well,
         # the trouble is likely not theirs, and all are used.
         for well, fresh in (True, True), (True, False), (False, True), (False, False):
@@ -307,10 +316,11 @@
                         # Danger: a gateway that holds one hand-off at a time sees no crowd at a home that all
                         # gateways share; so its last work is spread by cores, whatever is out.
                         # A cold engine's part is small and lapses, so it counts as the nearest.
-                        far = 0.0 if self._cold(engine) else HOME * seen
-                        (spare if engine.view.drawn > even * engine.cores else near).append(
+                        far = 0.0 if self._cold(engine) else HOME * (
+                            (seen - 1 - home) % wide if seen <= wide else seen)
+                        (spare if engine.view.drawn > even * engine.cores + thin * work else near).append(
                             (self._crowd(engine, sub.offering, usual) + far, n))
-                    if near and seen >= NEAR:
+                    if near and seen >= max(NEAR, wide):
                         break
             if seen:
                 return order[min(near or spare)[1]] if near or spare else None
@@ -424,10 +434,14 @@
         while engine.view.spent and engine.view.spent[0][0] <= now - self.fall_span:
             engine.view.spent.popleft()
         engine.view.drawn += offering.usual
-        self.last.append((engine.view, offering.usual))
+        self.last.append((engine.view, offering.usual, sub.tables))
+        self.groups[sub.tables] = self.groups.get(sub.tables, 0.0) + offering.usual
         if len(self.last) > LAST * len(self.engines):
-            view, work = self.last.popleft()
+            view, work, tables = self.last.popleft()
             view.drawn -= work
+            self.groups[tables] -= work
+            if self.groups[tables] < 1:
+                del self.groups[tables]
         self.host.hand_off(handoff, max(1, sub.taken + sub.life - now - self.margin // 2))
         self.host.wake(int(max(0.5 * sub.aim, 2 * self._time_of(sub))), self.patience_over, handoff)
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -3,6 +3,8 @@
 import subprocess
 import sys
 
+from collections import Counter
+
 import pytest
 
 from corkgauge.control import CROWDED, FLOOR, SIGMA, STEP
@@ -353,3 +355,23 @@
     gateway = yard.gateway
     kept = [gateway.lines, gateway.rests, gateway.orders, gateway.honoured, gateway.extras]
     assert not any(kept) and len(yard.wakes) < 5    # Danger: keys and table groups are always new
+
+
+def test_hundreds_of_gateways_spread_the_first_submissions_of_a_group_over_its_homes():
+    """Danger: each of them alike sends its first one to the first of the order, and together they overrun it."""
+    firsts = Counter()
+    for number in range(200):
+        yard = Yard(engines=20, gateways=200, number=number, seed=number)
+        firsts.update(sub.handoffs[0].engine.tag for sub in [yard.take()])
+    assert len(firsts) >= 18 and max(firsts.values()) < 30
+
+
+def test_a_gateway_that_goes_on_with_one_group_of_many_comes_back_to_its_own_home():
+    yard = Yard(engines=20, gateways=200)
+    homes = []
+    for n in range(60):
+        sub = yard.take(tables=float(n % 12))
+        if n % 12 == 0:
+            homes.append(sub.handoffs[0].engine.tag)
+        yard.over(sub.handoffs[0], took=2000)
+    assert Counter(homes[1:]).most_common(1)[0][1] >= 3
