--- /dev/null
+++ b/corkgauge/commands/fellows.py
@@ -0,0 +1,65 @@
+"""`corkgauge fellows`."""
+
+import json
+
+import click
+
+from corkgauge.commands import FOUND, Faulted
+
+
+def door(where: str, target: str, body: object = None) -> dict:
+    """What a gateway tells at its figures' door."""
+    from corkgauge.figures.asking import ask
+    try:
+        return ask(where, target, "GET" if body is None else "POST", body=body)
+    except (OSError, ValueError) as problem:
+        raise Faulted(f"{where}: {getattr(problem, 'strerror', None) or problem}") from None
+
+
+@click.command("fellows")
+@click.argument("where", nargs=-1, required=True)
+@click.option("--json", "as_json", is_flag=True, help="As the gateways tell it, a list, for programs.")
+def command(where: tuple[str, ...], as_json: bool) -> None:
+    """Who sees whom: the fellows as one or several gateways see them.
+
+    WHERE is the Unix socket or ADDRESS:PORT of a gateway's figures.
+
+    \b
+    corkgauge fellows /run/corkgauge/n1.sock /run/corkgauge/n2.sock
+    Ends with 1 if one of them sees a fellow that is not alive.
+    """
+    said = [door(each, "/fellows") for each in where]
+    if as_json:
+        print(json.dumps(said))
+    else:
+        from rich.console import Console
+
+        from corkgauge.commands.tables import plain_table
+        names = sorted({name for each in said for name in each["fellows"]} | {each["name"] for each in said})
+        table = plain_table("who is seen, by", "fellow", [each["name"] for each in said])
+        for name in names:
+            table.add_row(name, *(seen(each, name) for each in said))
+        Console().print(table)
+        for each in said:
+            taken = each["counters"].get("letters taken", 0)
+            refused = {why.removeprefix("letters "): count for why, count in each["counters"].items()
+                       if why.startswith("letters ") and why != "letters taken"}
+            print(f"{each['name']}: health {each['health']} (0 is well), letters taken {taken}, "
+                  f"not taken {refused or 0}")
+    states = {fellow["state"] for each in said for fellow in each["fellows"].values()}
+    raise SystemExit(FOUND if states - {"alive"} else 0)
+
+
+def seen(by: dict, name: str) -> str:
+    """
+    >>> seen({"name": "n1", "fellows": {"n2": {"state": "gone", "for": 12.3}}}, "n2")
+    'gone 12 s'
+    >>> seen({"name": "n1", "fellows": {}}, "n1"), seen({"name": "n1", "fellows": {}}, "n3")
+    ('itself', '-')
+    """
+    if by["name"] == name:
+        return "itself"
+    fellow = by["fellows"].get(name)
+    if fellow is None:
+        return "-"
+    return fellow["state"] if fellow["for"] is None else f"{fellow['state']} {fellow['for']:.0f} s"
--- a/corkgauge/daemon.py
+++ b/corkgauge/daemon.py
@@ -86,28 +86,39 @@
             self.house.hub.spawn(self.feed.run)
 
 
-# A subsystem is one entry: its element of the operator file, and what starts it from that. What is started
+# A subsystem is one entry: its element of the operator file, and what starts it from that, given those that
+# run already. What is started
 # has `reload(said)`, which takes a new element or raises Faulty and changes nothing, and `end()`; it may have
 # `leave()`, called at SIGTERM while all that is open still ends.
 
 
-def _figures(house: House, post: Post, said: Any) -> Any:
+def _figures(house: House, post: Post, said: Any, running: dict[str, Any]) -> Any:
     from corkgauge.figures.bureau import Bureau
     return Bureau(house, post.name, post.seed, said)
 
 
-def _recall(house: House, post: Post, said: Any) -> Any:
+def _recall(house: House, post: Post, said: Any, running: dict[str, Any]) -> Any:
     from corkgauge.recall.keeping import Keeping
     return Keeping(house, post.name, post.mark, said)
 
 
-def _flows(house: House, post: Post, said: Any) -> Any:
+def _flows(house: House, post: Post, said: Any, running: dict[str, Any]) -> Any:
     from corkgauge.flow.exporter import Exporter
     return Exporter(house, post.name, post.seed, said)
 
 
-SUBSYSTEMS: dict[str, Callable[[House, Post, Any], Any]] = {
-    "figures": _figures, "recall": _recall, "flows": _flows}
+def _fellows(house: House, post: Post, said: Any, running: dict[str, Any]) -> Any:
+    from corkgauge.fellows.society import Society
+    return Society(house, post, said)
+
+
+def _duties(house: House, post: Post, said: Any, running: dict[str, Any]) -> Any:
+    from corkgauge.duties.office import Office
+    return Office(house, post, said, running["fellows"])
+
+
+SUBSYSTEMS: dict[str, Callable[[House, Post, Any, dict[str, Any]], Any]] = {
+    "figures": _figures, "recall": _recall, "flows": _flows, "fellows": _fellows, "duties": _duties}
 
 
 class Beside:
@@ -117,8 +128,10 @@
         from corkgauge import operator
         self.house, self.path = house, path
         self.said = operator.read(path)
-        self.running = {name: start(house, post, getattr(self.said, name))
-                        for name, start in SUBSYSTEMS.items() if getattr(self.said, name) is not None}
+        self.running: dict[str, Any] = {}
+        for name, start in SUBSYSTEMS.items():
+            if (element := getattr(self.said, name)) is not None:
+                self.running[name] = start(house, post, element, self.running)
 
     def reload(self) -> None:
         """Read it again, whole or not at all."""
--- /dev/null
+++ b/corkgauge/duties/clerk.py
@@ -0,0 +1,88 @@
+"""The duty *fleet's books* at one gateway: asking all others while it is held, answering whoever holds it.
+
+Owns the rounds of asking and this gateway's copy of the history. Must never ask, sum or tell without a look
+at the holder's `may` immediately before, and never answer under a lower fence than it has seen.
+"""
+
+from typing import Any
+
+from corkgauge.duties.books import FleetBooks, History, account_of
+from corkgauge.figures.cut import cut_of
+
+SHOWN = 20              # entries that operators are shown
+
+
+class Clerk:
+    """`office` is the driver of duties; `each` tenths of a millisecond between two rounds."""
+
+    def __init__(self, office: Any, duty: str, each: int) -> None:
+        self.office, self.duty, self.each = office, duty, each
+        self.books, self.history, self.number, self.fence = FleetBooks(), History(), 0, 0
+        self.epoch = str(office.company.letters.start)
+
+    def gained(self) -> None:
+        """Held from now on: rounds begin, under this fence alone."""
+        self.number, self.fence = 0, self.office.holders[self.duty].fence
+        self.begin(self.fence)
+
+    def begin(self, fence: int) -> None:
+        """Ask all that are alive."""
+        office = self.office
+        if not self._may(fence):
+            return
+        self.books.begin()
+        self.number += 1
+        for fellow in office.company.alive():
+            if not self._may(fence):    # before each act, not once a round
+                return
+            office.company.call(fellow.name, "books", ["ask", self.duty, fence, self.number])
+        self.books.tells(office.name, self.account())
+        office.hub.later(max(self.each // 2, 1), self.sum, fence)
+        office.hub.later(self.each, self.begin, fence)
+
+    def sum(self, fence: int) -> None:
+        """What was answered goes into the history, here and at all others."""
+        office = self.office
+        if not self._may(fence):
+            return
+        alive = [fellow.name for fellow in office.company.alive()]
+        entry = self.books.entry(fence, self.number, office.hub.now // 10, alive)
+        self._add(entry)
+        if entry["wrong"]:
+            # Loud: what one gateway counts right may still not add up for all.
+            office.log(f"fleet out of balance: {'; '.join(entry['wrong'])}"[:300])
+        for name in alive:
+            if not self._may(fence):
+                return
+            office.company.call(name, "books", ["entry", self.duty, fence, entry])
+
+    def heard(self, sender: str, what: str, rest: list[Any]) -> None:
+        """A holder that asks or tells, or a fellow's answer. What makes no sense raises."""
+        office = self.office
+        if what == "account":
+            number, account = rest
+            if number == self.number and self._may(self.fence):
+                self.books.tells(sender, account)
+            return
+        fence = int(rest[0])
+        if not office.guard.admits(self.duty, fence):
+            office.company.call(sender, "books", ["no", self.duty, office.guard.highest[self.duty]])
+        elif what == "ask":
+            office.company.call(sender, "books", ["account", self.duty, int(rest[1]), self.account()])
+        elif what == "entry":
+            self._add(dict(rest[1]))
+
+    def account(self) -> dict[str, Any]:
+        house = self.office.house
+        cut = cut_of(house.ledger, house.hub.now, self.office.name, {"id": self.epoch})
+        return account_of(self.epoch, cut["offerings"].values(), cut["engines"].flat.values())
+
+    def told(self) -> dict[str, Any]:
+        return {"entries": [*self.history.entries][-SHOWN:], "refused": self.history.refused}
+
+    def _may(self, fence: int) -> bool:
+        holder = self.office.holders.get(self.duty)
+        return holder is not None and holder.may() and holder.fence == fence
+
+    def _add(self, entry: dict[str, Any]) -> None:
+        self.history.add(entry)
--- /dev/null
+++ b/corkgauge/duties/office.py
@@ -0,0 +1,371 @@
+"""Duties of one program: its vote, what it stands for and holds, and what is done under each.
+
+Owns the timers, the helper that writes votes, and which command was lent a duty. Must never decide who holds
+what: voter and holders do. Must never do an act under a duty without a look at `may` immediately before it.
+"""
+
+import os
+import subprocess
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import msgpack
+
+from corkgauge.configuration import Faulty, Post
+from corkgauge.duties import preference, store
+from corkgauge.duties.clerk import Clerk
+from corkgauge.duties.guard import Guard
+from corkgauge.duties.holder import HOLDING, STATES, Holder
+from corkgauge.duties.roll import Roll, Span, Unsafe
+from corkgauge.duties.voter import GRANTED, PROMISED, VACANT, WOULD, Voter
+from corkgauge.fellows.company import ALIVE, SUSPECTED
+from corkgauge.loop.boot import boot_time
+from corkgauge.loop.hub import READ, SECOND
+from corkgauge.operator import Duties
+
+ANSWERS = WOULD, PROMISED, GRANTED, VACANT
+LOOKS = 10              # at our own load, a lease
+TOLD_VACANT = 2         # of the next in order
+CHANGES = 50            # of duties that operators can look back at
+
+
+class Office:
+    """`house` has `hub`, `log`, `ledger` and `routes`; `society` are the fellows."""
+
+    def __init__(self, house: Any, post: Post, said: Duties, society: Any) -> None:
+        self.house, self.hub, self.name, self.said, self.society = house, house.hub, post.name, said, society
+        self.company = society.company
+        try:
+            self.roll, self.span = _terms(said)
+        except Unsafe as problem:
+            raise Faulty(f"duties: {problem}") from None
+        self.told_rolls: dict[str, tuple[int, int]] = {}    # by gateway: version and mark of its list
+        self.helper: subprocess.Popen | None = None
+        self.waiting: dict[int, tuple[Callable[..., None], tuple]] = {}     # records that are written
+        self.written = 0
+        self.guard = Guard()
+        self.voter = Voter(self, self.name, self.roll, self.span, self._kept())
+        self.holders: dict[str, Holder] = {}
+        self.clerks: dict[str, Clerk] = {}
+        self.lent: dict[str, tuple[str, int]] = {}      # by duty: to which command, until when
+        self.asking: dict[str, int] = {}                # by duty: when a command last asked for it
+        self.yielding: dict[str, str] = {}      # to be given up once no command runs under it, and why
+        self.changes: list[dict[str, Any]] = []
+        self.leaving = self.overloaded = False
+        self.load = preference.Load(max(self.span.each, SECOND // 10))
+        for name, kind, each in said.duties:
+            self._stand(name, kind, each)
+        self.company.calls["duty"] = self.came
+        self.company.calls["books"] = self.books_came
+        self.company.calls["yield"] = self.yield_came
+        house.routes[b"GET", b"/duties"] = self.told
+        house.routes[b"POST", b"/duties"] = self.asked
+        self._look(boot_time())
+
+    def _stand(self, name: str, kind: str, each: int) -> None:
+        """Danger: a gateway that holds a duty for commands while none waits here would keep it from those where one
+        does; so it stands for such a duty while one asks."""
+        self.holders[name] = Holder(self, name, self.name, self.roll, self.span, kind == "books")
+        if kind == "books":
+            self.clerks[name] = Clerk(self, name, each)
+
+    def reload(self, said: Duties) -> None:
+        """Another list of voters, other duties; Faulty, and nothing is changed, where that is not safe."""
+        try:
+            roll, span = _terms(said)
+            self.roll.step_to(roll, {**self.told_rolls, self.name: (self.roll.version, self.roll.mark)})
+        except Unsafe as problem:
+            raise Faulty(f"duties: {problem}") from None
+        if said.folder != self.said.folder:
+            self.house.log("operator file: duties folder changed, in force after a restart")
+        if roll != self.roll:
+            self.house.log(f"duties: list {roll.version} of voters in force, {' '.join(roll.names)}")
+        self.roll, self.span, self.said = roll, span, said
+        self.voter.renew(roll, span)
+        named = {name for name, *_ in said.duties}
+        for name in [*self.holders]:
+            if name not in named:
+                self.holders[name].give_up("no longer named")
+                self.holders.pop(name).stand(False)
+                self.clerks.pop(name, None)
+        for name, kind, each in said.duties:
+            if name not in self.holders:
+                self._stand(name, kind, each)
+            else:
+                self.holders[name].renew(roll, span)
+            if name in self.clerks:
+                self.clerks[name].each = each
+
+    def leave(self) -> None:
+        """A planned end: what is held is handed over at once, what a command runs under as soon as that
+        ends."""
+        self.leaving = True
+        for name, holder in self.holders.items():
+            holder.stand(False)
+            self._give_up(name, "leaving")
+
+    def end(self) -> None:
+        for name, holder in self.holders.items():
+            if holder.state == HOLDING and name not in self.lent:
+                holder.give_up("ended")
+        if self.helper is not None:
+            self.helper.stdin.close()
+            self.helper.stdout.close()
+
+    # What a voter and the holders may do.
+
+    @property
+    def now(self) -> int:
+        return boot_time()
+
+    @property
+    def date(self) -> int:
+        return self.hub.clock() // 10
+
+    def send(self, name: str, body: list[Any]) -> None:
+        if name == self.name:
+            self.hub.later(0, self.came, name, body)
+        else:
+            self.company.call(name, "duty", body)
+
+    def wake(self, delay: int, method: Callable[..., None], *what: Any) -> None:
+        self.hub.later(delay, method, *what)
+
+    def chance(self, below: int) -> int:
+        return self.society.chance(max(below, 1))
+
+    def log(self, line: str) -> None:
+        self.house.log(line)
+
+    def rank(self, duty: str) -> int:
+        return preference.rank(duty, self.name, self._present(), self._held())
+
+    def gained(self, holder: Holder) -> None:
+        self.house.log(f"duty {holder.duty} held under fence {holder.fence}")
+        self._changed(holder, "held", holder.why)
+        if holder.duty in self.clerks:
+            self.clerks[holder.duty].gained()
+        if self.leaving or self.overloaded:
+            self._give_up(holder.duty, "leaving" if self.leaving else "overloaded")
+
+    def lost(self, holder: Holder, why: str) -> None:
+        self.house.log(f"duty {holder.duty} given up under fence {holder.fence}: {why}")
+        self._changed(holder, "given up", why)
+        self.lent.pop(holder.duty, None)
+        self.yielding.pop(holder.duty, None)
+
+    def vacant(self, holder: Holder) -> None:
+        """It was given back: those that should have it are told, so that nobody waits for a lease."""
+        fellows = [each for each in self._present() if each[0] != self.name]
+        for name in preference.order(holder.duty, fellows, self._held())[:TOLD_VACANT]:
+            self.send(name, [VACANT, holder.duty, self.roll.version, self.roll.mark, 0])
+
+    def keep(self, record: dict[str, Any], then: Callable[..., None], *what: Any) -> None:
+        """Danger: a promise that a power cut takes back is none; so it is written before it is said. The
+        helper waits for the disk, and what it does not answer is never said."""
+        if self.helper is None:
+            return None if self.said.folder else then(*what)
+        self.written += 1
+        self.waiting[self.written] = then, what
+        body = msgpack.packb(record)
+        try:
+            frame = store.FRAME.pack(self.written, len(body)) + body
+            if os.write(self.helper.stdin.fileno(), frame) != len(frame):
+                raise OSError("a pipe that took a part")
+        except OSError:
+            # Danger: half a frame would spoil all later ones.
+            self.house.log("duties: votes are not written, no vote until a restart")
+            self.helper.kill()
+            self.helper = None
+
+    # What comes.
+
+    def came(self, sender: str, body: Any) -> None:
+        """A letter on duties, of a candidate or a voter."""
+        sort, duty, version, mark = body[:4]
+        self.told_rolls[sender] = version, mark
+        if sort not in ANSWERS:
+            letters = self.company.letters
+            start = letters.start if sender == self.name else letters.pens[sender].start
+            return self.voter.heard(sender, start, body)
+        holder = self.holders.get(duty)
+        if holder is not None:
+            holder.heard(sender, body)
+
+    def books_came(self, sender: str, body: Any) -> None:
+        what, duty, *rest = body
+        clerk = self.clerks.get(duty)
+        if what == "no" and duty in self.holders:
+            self.holders[duty].outbid(int(rest[0]))
+        elif clerk is not None:
+            clerk.heard(sender, what, rest)
+
+    def yield_came(self, sender: str, body: Any) -> None:
+        if body in self.holders:
+            self._give_up(body, f"told at {sender}")
+
+    # Our own load.
+
+    def _look(self, due: int) -> None:
+        """Danger: a gateway whose loop is late loses its duties by the clock, in the middle of what it
+        does."""
+        now = boot_time()
+        was, self.overloaded = self.overloaded, self.load.looked(now, now - due)
+        if was != self.overloaded:
+            what = "overloaded, standing for none" if self.overloaded else "standing again"
+            self.house.log(f"duties: {what}")
+            for name, holder in self.holders.items():
+                holder.stand(self._wanted(name))
+                if self.overloaded:
+                    self._give_up(name, "overloaded")
+        for name, (_, until) in [*self.lent.items()]:
+            if now >= until:    # its command was killed, or does not ask any more
+                self._returned(name)
+        for name, asked in [*self.asking.items()]:
+            if now > asked + self.span.lease and name not in self.lent:
+                del self.asking[name]
+                self.holders[name].stand(False)
+                self._give_up(name, "no command asks")
+        self.hub.later(self.span.lease // LOOKS, self._look, now + self.span.lease // LOOKS)
+
+    def _wanted(self, duty: str) -> bool:
+        return not (self.overloaded or self.leaving) and (duty in self.clerks or duty in self.asking)
+
+    def _present(self) -> list[tuple[str, str]]:
+        return [(each.name, each.hall) for each in self.company.fellows.values()
+                if each.state in (ALIVE, SUSPECTED)] + [(self.name, self.company.hall)]
+
+    def _held(self) -> dict[str, str]:
+        return {name: holder.other for name, holder in self.holders.items() if holder.other}
+
+    def _give_up(self, duty: str, why: str) -> None:
+        holder = self.holders[duty]
+        if duty in self.lent and holder.state == HOLDING:
+            # Danger: a command still runs under it. It is told when it asks next, and its time is bounded.
+            self.yielding[duty] = why
+        elif holder.state == HOLDING:
+            holder.give_up(why, 2 * self.span.lease)
+
+    def _returned(self, duty: str) -> None:
+        """No command runs under it any more."""
+        self.lent.pop(duty, None)
+        if duty in self.yielding:
+            self.holders[duty].give_up(self.yielding.pop(duty), 2 * self.span.lease)
+
+    def _changed(self, holder: Holder, what: str, why: str) -> None:
+        self.changes.append({"at": self.hub.now // 10, "duty": holder.duty, "what": what, "why": why,
+                             "fence": holder.fence})
+        del self.changes[:-CHANGES]
+
+    # What operators and commands ask at the door.
+
+    def told(self, asked: bytes = b"") -> dict[str, Any]:
+        """Spans are seconds, moments milliseconds of the system's date."""
+        now = boot_time()
+        return {"name": self.name, "voters": [*self.roll.names], "version": self.roll.version,
+                "voting": self.voter.votes_now,
+                "silent_for": max(self.voter.silent_until - now, 0) / SECOND,
+                "overloaded": self.overloaded, "duties": {
+                    name: {"state": STATES[holder.state],
+                           "holder": self.name if holder.may() else holder.other,
+                           "fence": holder.fence, "left": max(holder.until - now, 0) / SECOND,
+                           "for": (now - holder.since) / SECOND if holder.may() else None, "why": holder.why,
+                           "wanted": holder.wanted, "lent": self.lent.get(name, ("",))[0]}
+                    for name, holder in self.holders.items()},
+                "books": {name: clerk.told() for name, clerk in self.clerks.items()},
+                "changes": self.changes, "fences": {**self.guard.highest},
+                "counters": {**self.voter.counts, "acts refused": self.guard.refused}}
+
+    def asked(self, body: bytes) -> dict[str, Any]:
+        """`{"do": "hold", "duty", "by"}`, `{"do": "done", ...}`, `{"do": "yield", "duty"}`."""
+        import json
+        said = json.loads(body)
+        duty, what, by = said["duty"], said["do"], str(said.get("by", ""))[:100]
+        holder = self.holders.get(duty)
+        if holder is None:
+            raise ValueError(f"no duty {duty!r} here")
+        if what == "hold":
+            return self._lend(holder, by)
+        if what == "done":
+            if self.lent.get(duty, ("",))[0] == by:
+                self.asking.pop(duty, None)
+                holder.stand(False)
+                self.yielding.setdefault(duty, "its command has ended")
+                self._returned(duty)
+            return {"held": False}
+        if what != "yield":
+            raise ValueError("expected hold, done or yield")
+        if holder.state == HOLDING:
+            self._give_up(duty, "told")
+            return {"told": self.name, "waits_for": self.lent.get(duty, ("",))[0]}
+        if holder.other and holder.other != self.name and self.company.call(holder.other, "yield", duty):
+            return {"told": holder.other, "waits_for": ""}
+        raise ValueError(f"nobody is known to hold {duty!r}")
+
+    def _lend(self, holder: Holder, by: str) -> dict[str, Any]:
+        duty = holder.duty
+        if duty in self.clerks:
+            raise ValueError(f"{duty!r} is the gateways' own")
+        lent = self.lent.get(duty)
+        self.asking[duty] = boot_time()
+        if not holder.wanted and self._wanted(duty):
+            holder.stand(True)
+        if not holder.may() or duty in self.yielding or (lent is not None and lent[0] != by):
+            return {"held": False, "holder": holder.other, "in_use": lent[0] if lent else ""}
+        self.lent[duty] = by, holder.until
+        return {"held": True, "fence": holder.fence, "left": (holder.until - boot_time()) / SECOND}
+
+    # Votes that outlive us.
+
+    def _kept(self) -> dict[str, list[Any]] | None:
+        """What a folder tells of our votes; None where there is nothing, and then we are silent at first."""
+        if not self.said.folder:
+            return None
+        path = os.path.join(self.said.folder, f"{self.name}.votes")
+        try:
+            os.makedirs(self.said.folder, exist_ok=True)
+            with open(path, "rb") as file:
+                data = file.read(store.LARGEST)
+        except FileNotFoundError:
+            data = b""
+        except OSError as problem:
+            raise Faulty(f"duties: {self.said.folder}: {problem.strerror}") from None
+        body = store.unpacked(data)
+        self.helper = subprocess.Popen([sys.executable, store.__file__, path], stdin=subprocess.PIPE,
+                                       stdout=subprocess.PIPE)
+        for pipe in self.helper.stdin, self.helper.stdout:
+            os.set_blocking(pipe.fileno(), False)
+        self.hub.spawn(self._listen, self.helper)
+        if body is None:
+            if data:
+                self.house.log("duties: kept votes are torn, silent at first")
+            return None
+        return msgpack.unpackb(body)
+
+    def _listen(self, helper: subprocess.Popen) -> None:
+        """Numbers of records that are safe."""
+        rest, fd = b"", helper.stdout.fileno()
+        while self.helper is helper:
+            self.hub.wait(fd, READ)
+            try:
+                data = os.read(fd, 4096)
+            except BlockingIOError:
+                continue
+            except (OSError, ValueError):
+                data = b""
+            if not data:
+                break
+            rest += data
+            while len(rest) >= 4:
+                number, rest = int.from_bytes(rest[:4], "little"), rest[4:]
+                # One that failed is never answered; a later one that is safe holds more than it did.
+                for older in [each for each in self.waiting if each < number]:
+                    del self.waiting[older]
+                then, what = self.waiting.pop(number, (lambda *_: None, ()))
+                then(*what)
+
+
+def _terms(said: Duties) -> tuple[Roll, Span]:
+    return (Roll(said.version, said.voters, said.lease),
+            Span(said.lease, said.drift, said.margin, said.longest))
--- /dev/null
+++ b/corkgauge/fellows/company.py
@@ -0,0 +1,423 @@
+"""The company of fellows as one of them sees it: who is alive, suspected, gone, and how that is found out.
+
+Owns this gateway's view of each fellow, its own health, and what is asked of whom. Free of I/O: the clock,
+chance and the way out are its host's. Must never accuse a fellow while it was late itself, never cost more
+the more fellows there are, and never decide anything that a wrong view could make unsafe: views are hints.
+
+Asking one fellow a period, and others for it, with the last words passed on beside: SWIM (Das, Gupta,
+Motivala, 2002). Health, spans of suspicion that shrink as others confirm it, and telling the accused first:
+Lifeguard (Dadgar, Phillips, Currey, 2017).
+"""
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from math import log, log10
+from typing import Any, Protocol
+
+from corkgauge.fellows.letters import (
+    ANSWER,
+    ASK,
+    ASK_ALL,
+    ASK_FOR,
+    BACK,
+    CALL,
+    DEAF,
+    HELLO,
+    TELL,
+    Key,
+    Letters,
+)
+from corkgauge.fellows.rumours import Rumours
+
+ALIVE, SUSPECTED, GONE, LEFT, UNKNOWN = range(5)
+STATES = "alive", "suspected", "gone", "left", "unknown"
+HELPERS = 3             # asked for one that does not answer
+CONFIRMED = 3           # accusers beside ourselves, with whom suspicion is shortest
+LEAST_SPAN = 4          # of suspicion: periods, times the logarithm of the number of fellows
+MOST_TIMES = 4          # its longest span over its shortest
+MOST_HEALTH = 8         # 0 is well; spans grow by one of themselves for each
+REPLY = 0.3             # of a period, until others are asked for one that does not answer
+LATE = 0.25             # of a period, that our own timer may be late before our view counts for nothing
+ROOM = 900              # octets of words in one datagram
+NEWCOMER = 6            # fellows that a newcomer greets a period, until one answers
+ONCE = 30_000           # tenths of a millisecond between two whole rolls told to one fellow
+SELDOM = 4              # one in so many turns of a fellow that is gone is used to look after it
+
+
+class Host(Protocol):
+    """What a company may do. Times are tenths of a millisecond."""
+
+    now: int
+
+    def post(self, name: str, data: bytes) -> None: ...
+    def wake(self, delay: int, method: Callable[..., None], *what: Any) -> None: ...
+    def chance(self, below: int) -> int: ...
+    def log(self, line: str) -> None: ...
+    def changed(self, fellow: "Fellow", before: int) -> None: ...
+
+
+class Fellow:
+    """One of the others, as we see it."""
+
+    __slots__ = ("name", "hall", "state", "start", "turn", "since", "accusers", "why", "heard", "serial",
+                 "told_all")
+
+    def __init__(self, name: str, hall: str) -> None:
+        self.name, self.hall = name, hall
+        self.state, self.start, self.turn = UNKNOWN, 0, 0
+        self.since = self.heard = 0     # in this state; when its last letter came
+        self.accusers: set[str] = set()
+        self.why = ""                   # of the last change
+        self.serial = 0                 # of the suspicion that runs
+        self.told_all = -ONCE
+
+    def word(self) -> list[Any]:
+        return [self.name, self.state, self.start, self.turn, min(self.accusers, default="")]
+
+
+class Asked:
+    """A fellow that we asked, for ourselves or for another."""
+
+    __slots__ = ("fellow", "due", "for_whom", "serial", "helpers", "deaf")
+
+    def __init__(self, fellow: Fellow, due: int, for_whom: str = "", serial: int = 0) -> None:
+        self.fellow, self.due, self.for_whom, self.serial = fellow, due, for_whom, serial
+        self.helpers, self.deaf = 0, 0
+
+
+class Company:
+    """`fellows` are (name, hall) of all, ourselves among them; `period` is tenths of a millisecond."""
+
+    def __init__(self, host: Host, name: str, start: int, keys: Sequence[Key],
+                 fellows: Sequence[tuple[str, str]], period: int) -> None:
+        self.host, self.name, self.period = host, name, period
+        self.letters = Letters(name, start, keys, self._started, self._outgrown)
+        self.rumours, self.health, self.turn, self.serial = Rumours(), 0, 0, 0
+        self.fellows: dict[str, Fellow] = {}
+        self.hall = ""
+        self.round: list[str] = []
+        self.asked: dict[int, Asked] = {}
+        self.calls: dict[str, Callable[[str, Any], None]] = {}  # by subject: who hears of it
+        self.counts = Counter[str]()
+        self.left = self.met = False
+        self.unknown = 0        # fellows whose start nobody has told yet
+        self.named(fellows)
+        self.host.wake(1, self.tick)
+
+    # What operators say.
+
+    def named(self, fellows: Sequence[tuple[str, str]]) -> None:
+        """Who there is, ourselves among them; what is known of those that stay is kept."""
+        self.hall = dict(fellows).get(self.name, "")
+        before = self.fellows
+        self.fellows = {name: before.get(name) or Fellow(name, hall)
+                        for name, hall in fellows if name != self.name}
+        for name, hall in fellows:
+            if name != self.name:
+                self.fellows[name].hall = hall
+        self.unknown = sum(each.state == UNKNOWN for each in self.fellows.values())
+        self.letters.named([*self.fellows])
+        self.rumours.forget({*self.fellows, self.name})
+        self.round = [name for name in self.round if name in self.fellows]
+
+    def locked(self, keys: Sequence[Key]) -> None:
+        """Other keys: the first seals, any opens."""
+        self.letters.keys = [*keys]
+
+    def leave(self) -> None:
+        """We end in order: told to a few at once, and by them to all."""
+        self.left = True
+        for fellow in self._some(2 * HELPERS):
+            self._send(fellow.name, TELL, [])
+
+    # What others may ask.
+
+    def call(self, name: str, subject: str, body: Any) -> bool:
+        """Send something of another subsystem's; False where its start is unknown yet (it is greeted)."""
+        if name not in self.fellows:
+            return False
+        if not self.letters.known(name):
+            self._send(name, HELLO, None)
+            return False
+        self._send(name, CALL, [subject, body])
+        return True
+
+    def alive(self) -> list[Fellow]:
+        """Those that are not known to be gone, by name."""
+        return sorted((each for each in self.fellows.values() if each.state in (ALIVE, SUSPECTED)),
+                      key=lambda each: each.name)
+
+    def state_of(self, name: str) -> int:
+        return ALIVE if name == self.name else self.fellows[name].state if name in self.fellows else GONE
+
+    # What happens.
+
+    def came(self, data: bytes) -> None:
+        """A datagram, from whoever."""
+        opened = self.letters.open(data, self.host.now)
+        if opened is None:
+            return
+        sender, sort, body = opened
+        fellow = self.fellows[sender]
+        if sort == HELLO:
+            return self._send(sender, BACK, None, body)
+        fellow.heard = self.host.now
+        if sort == BACK:
+            if not self.met:    # the first that we meet tells us of all others
+                self.met = True
+                self._send(sender, ASK_ALL, [])
+            return
+        try:
+            self._read(fellow, sort, body)
+        except (TypeError, ValueError, IndexError, KeyError, AttributeError):
+            # Danger: a fellow of another version, or one gone wild, holds the key too.
+            self.counts["no sense"] += 1
+
+    def _read(self, fellow: Fellow, sort: int, body: Any) -> None:
+        if sort == CALL:
+            subject, what = body
+            if subject in self.calls:
+                self.calls[subject](fellow.name, what)
+            return
+        if sort == ASK:
+            self._send(fellow.name, ANSWER, [int(body[0])])
+        elif sort == ANSWER:
+            self._answered(int(body[0]))
+        elif sort == ASK_FOR:
+            self._ask_for(fellow.name, int(body[0]), str(body[1]))
+        elif sort == DEAF:
+            asked = self.asked.get(int(body[0]))
+            if asked is not None:
+                asked.deaf += 1
+        elif sort == ASK_ALL:
+            self._tell_all(fellow)
+        for word in body[-1]:
+            self._heard(fellow.name, word)
+
+    def tick(self) -> None:
+        """Once a period: ask the next one. Danger: spans that stay short on a slow machine accuse all."""
+        host = self.host
+        if self.left:
+            return
+        span = self.period * (1 + self.health)
+        host.wake(span, self.tick)
+        if not self.met:
+            for fellow in self._some(NEWCOMER, known=False):
+                self._send(fellow.name, HELLO, None)
+            return
+        if self.unknown and not self.host.chance(SELDOM):
+            for other in self._some(1):
+                self._send(other.name, ASK_ALL, [])
+        fellow = self._next()
+        if fellow is None:
+            return
+        if not self.letters.known(fellow.name):
+            return self._send(fellow.name, HELLO, None)
+        self._ask(fellow, int(span * REPLY), span)
+
+    def _ask(self, fellow: Fellow, reply: int, span: int, for_whom: str = "", serial: int = 0) -> None:
+        self.serial += 1
+        self.asked[self.serial] = Asked(fellow, self.host.now + span, for_whom, serial)
+        self._send(fellow.name, ASK, [self.serial])
+        if not for_whom:
+            self.host.wake(reply, self.unanswered, self.serial)
+        self.host.wake(span, self.given_up, self.serial)
+
+    def unanswered(self, serial: int) -> None:
+        """Danger: one bad link is not a dead fellow; others ask for us."""
+        asked = self.asked.get(serial)
+        if asked is None:
+            return
+        for other in self._some(HELPERS, but=asked.fellow):
+            asked.helpers += 1
+            self._send(other.name, ASK_FOR, [serial, asked.fellow.name])
+
+    def given_up(self, serial: int) -> None:
+        asked = self.asked.pop(serial, None)
+        if asked is None or asked.fellow.name not in self.fellows:
+            return
+        if asked.for_whom:
+            if asked.for_whom in self.fellows:
+                self._send(asked.for_whom, DEAF, [asked.serial])
+            return
+        # Danger: one that stood still itself hears nothing of what came meanwhile, and would accuse everyone.
+        if self.host.now > asked.due + int(LATE * self.period):
+            self.counts["late ourselves"] += 1
+            return self._health(1)
+        self._health(1 if asked.deaf < asked.helpers else 0)
+        if asked.fellow.state in (ALIVE, UNKNOWN):
+            self._suspected(asked.fellow, self.name, "asked in vain")
+
+    def _answered(self, serial: int) -> None:
+        asked = self.asked.pop(serial, None)
+        if asked is None:
+            return
+        if asked.for_whom:
+            if asked.for_whom in self.fellows:
+                self._send(asked.for_whom, ANSWER, [asked.serial])
+            return
+        self._health(-1)
+
+    def _ask_for(self, whom: str, serial: int, name: str) -> None:
+        fellow = self.fellows.get(name)
+        if fellow is not None and self.letters.known(name):
+            self._ask(fellow, 0, int(self.period * (1 - REPLY) * 0.8), whom, serial)
+
+    # Words.
+
+    def _heard(self, teller: str, word: Sequence[Any]) -> None:
+        name, state, start, turn, accuser = word
+        if not (ALIVE <= state <= LEFT and 0 < start and 0 <= turn):
+            raise ValueError("a word that makes no sense")
+        if name == self.name:
+            return self._of_us(state, start, turn)
+        fellow = self.fellows.get(name)
+        if fellow is None:
+            return
+        self.letters.heard_of(name, start)      # may take it up as alive
+        new, old = (start, turn, min(state, GONE)), (fellow.start, fellow.turn, min(fellow.state, GONE))
+        if fellow.state == UNKNOWN:
+            old = (0, 0, 0)
+        if state == SUSPECTED and (start, turn) == (fellow.start, fellow.turn) and fellow.state == SUSPECTED:
+            if accuser and accuser not in fellow.accusers and len(fellow.accusers) <= CONFIRMED:
+                self._suspected(fellow, accuser, "confirmed")
+        elif new > old:
+            fellow.start, fellow.turn = start, turn
+            if state == SUSPECTED:
+                self._suspected(fellow, accuser, f"told by {teller}")
+            else:
+                self._becomes(fellow, state, f"told by {teller}")
+
+    def _of_us(self, state: int, start: int, turn: int) -> None:
+        """Danger: an accusation that is not answered makes us gone for all."""
+        if start > self.letters.start:
+            self._outgrown(start)
+        elif start == self.letters.start and state != ALIVE and not self.left:
+            if turn >= self.turn:
+                self.turn = turn + 1
+                self.counts["accused"] += 1
+                self._health(1)
+            # Danger: while we were not heard, our word died out; whoever still accuses us never had it.
+            self.rumours.tell(self.name, self._our_word())
+
+    def _suspected(self, fellow: Fellow, accuser: str, why: str) -> None:
+        if fellow.state != SUSPECTED:
+            fellow.accusers, fellow.since = set(), self.host.now
+        fellow.accusers.add(accuser)
+        if fellow.state != SUSPECTED:
+            self._becomes(fellow, SUSPECTED, why, {accuser})
+        else:
+            self.rumours.tell(fellow.name, fellow.word()[:4] + [accuser])
+        fellow.serial += 1
+        left = fellow.since + self._suspicion(len(fellow.accusers) - 1) - self.host.now
+        self.host.wake(max(left, 1), self.suspicion_over, fellow, fellow.serial)
+
+    def _suspicion(self, confirmed: int) -> int:
+        """How long, in tenths of a millisecond: the more have confirmed it, the shorter."""
+        fellows = len(self.fellows) + 1
+        least = LEAST_SPAN * max(1.0, log10(fellows)) * self.period
+        wanted = min(CONFIRMED, fellows - 2)
+        if wanted < 1:
+            return int(least)
+        return int(max(least, least * (MOST_TIMES - (MOST_TIMES - 1) * log(confirmed + 1) / log(wanted + 1))))
+
+    def suspicion_over(self, fellow: Fellow, serial: int) -> None:
+        if fellow.state == SUSPECTED and fellow.serial == serial:
+            self._becomes(fellow, GONE, f"suspected by {len(fellow.accusers)}")
+
+    def _becomes(self, fellow: Fellow, state: int, why: str, accusers: Any = ()) -> None:
+        before, fellow.state, fellow.since, fellow.why = fellow.state, state, self.host.now, why
+        self.unknown -= before == UNKNOWN
+        fellow.accusers = {*accusers}
+        self.rumours.tell(fellow.name, fellow.word())
+        if before != state:
+            self.counts[f"became {STATES[state]}"] += 1
+            self.host.changed(fellow, before)
+
+    def _started(self, name: str, start: int) -> None:
+        """Its present start has become known: by itself, or by a word."""
+        fellow = self.fellows[name]
+        if start > fellow.start:
+            fellow.start, fellow.turn = start, 0
+            self._becomes(fellow, ALIVE, "started")
+
+    def _outgrown(self, start: int) -> None:
+        """They know our name under a later start: a clock was set back, or another process runs under it."""
+        self.counts["outgrown"] += 1
+        self.letters.start = start + 1
+        self.turn = 0
+        self.host.log(f"fellows: known under a later start, taking {start + 1}")
+
+    def _our_word(self) -> list[Any]:
+        return [self.name, LEFT if self.left else ALIVE, self.letters.start, self.turn, ""]
+
+    def _tell_all(self, fellow: Fellow) -> None:
+        """The whole roll, as datagrams take it. Danger: one that asks again and again would be work without
+        end."""
+        if self.host.now < fellow.told_all + ONCE:
+            return
+        fellow.told_all = self.host.now
+        words, size = [], 0
+        for word in [self._our_word(), *(each.word() for each in self.fellows.values() if each.start)]:
+            words.append(word)
+            size += _size(word)
+            if size > ROOM - 60:
+                self._send(fellow.name, TELL, [], words=words)
+                words, size = [], 0
+        if words:
+            self._send(fellow.name, TELL, [], words=words)
+
+    # Helpers.
+
+    def _send(self, name: str, sort: int, body: Any, known_as: int = 0, words: Any = None) -> None:
+        if sort in (HELLO, BACK, CALL):
+            data = self.letters.write(name, sort, body, known_as)
+        else:
+            if words is None:
+                words, fellow = [], self.fellows[name]
+                if fellow.state in (SUSPECTED, GONE, LEFT):
+                    words.append(fellow.word())     # it must hear what is said of it
+                if self.left:
+                    words.append(self._our_word())
+                words += self.rumours.some(len(self.fellows) + 1, ROOM - 120, _size, name)
+            data = self.letters.write(name, sort, [*body, words])
+        self.counts["sent"] += 1
+        self.host.post(name, data)
+
+    def _next(self) -> Fellow | None:
+        """Each once a round, in an order by chance; those that are gone more seldom."""
+        for _ in range(2 * SELDOM):
+            if not self.round:
+                self.round = self._shuffled([*self.fellows])
+                if not self.round:
+                    return None
+            fellow = self.fellows[self.round.pop()]
+            if fellow.state not in (GONE, LEFT) or not self.host.chance(SELDOM):
+                return fellow
+        return fellow
+
+    def _some(self, many: int, but: Fellow | None = None, known: bool = True) -> list[Fellow]:
+        """A few, by chance; those known to be alive, or any."""
+        names = [each.name for each in self.fellows.values() if each is not but and (
+            not known or each.state == ALIVE and self.letters.known(each.name))]
+        found = []
+        while names and len(found) < many:
+            n = self.host.chance(len(names))
+            found.append(self.fellows[names[n]])
+            names[n] = names[-1]
+            names.pop()
+        return found
+
+    def _shuffled(self, names: list[str]) -> list[str]:
+        for n in range(len(names) - 1, 0, -1):
+            other = self.host.chance(n + 1)
+            names[n], names[other] = names[other], names[n]
+        return names
+
+    def _health(self, step: int) -> None:
+        self.health = min(max(self.health + step, 0), MOST_HEALTH)
+
+
+def _size(word: Sequence[Any]) -> int:
+    """Octets of a word, on the high side."""
+    return 24 + len(word[0]) + len(word[4])
--- a/corkgauge/figures/asking.py
+++ b/corkgauge/figures/asking.py
@@ -22,21 +22,24 @@
         self.sock.connect(self.path)
 
 
-def ask(where: str, target: str = "/figures", method: str = "GET", timeout: float = 5.0) -> Any:
-    """The JSON that a door tells. `where` is the path of a Unix socket, or ADDRESS:PORT. OSError or
-    ValueError where nothing sensible comes within `timeout` seconds."""
+def ask(where: str, target: str = "/figures", method: str = "GET", timeout: float = 5.0,
+        body: Any = None) -> Any:
+    """The JSON that a door tells, asked with `body` as JSON. `where` is the path of a Unix socket, or
+    ADDRESS:PORT. OSError or ValueError where nothing sensible comes within `timeout` seconds."""
     host, colon, port = where.rpartition(":")
     if where.startswith("/") or not colon or not port.isdigit():
         connection: http.client.HTTPConnection = UnixConnection(where, timeout)
     else:
         connection = http.client.HTTPConnection(host.strip("[]"), int(port), timeout=timeout)
     try:
-        connection.request(method, target)
+        connection.request(method, target, None if body is None else json.dumps(body).encode())
         answer = connection.getresponse()
-        body = answer.read()
+        said = answer.read()
+        if answer.status == 400:
+            raise ValueError(f"{where}: {json.loads(said).get('wrong')}")
         if answer.status != 200:
             raise ValueError(f"{where}: status {answer.status}")
-        return json.loads(body)
+        return json.loads(said)
     except http.client.HTTPException as problem:
         raise ValueError(f"{where}: {type(problem).__name__}") from None
     finally:
--- a/corkgauge/figures/bureau.py
+++ b/corkgauge/figures/bureau.py
@@ -83,7 +83,7 @@
         house = self.house
         try:
             self.door = Readers(house.hub, said.listen, said.readers, self.cut, house.findings.clear,
-                                house.log)
+                                house.log, house.routes)
         except OSError as problem:
             raise Faulty(f"figures listen: {said.listen}: {problem.strerror or problem}") from None
 
--- a/corkgauge/figures/door.py
+++ b/corkgauge/figures/door.py
@@ -5,6 +5,7 @@
 
     GET /metrics    Prometheus text        GET /figures    the cut as JSON
     GET /findings   what does not add up   POST /clear     an operator has seen that
+    and what other subsystems answer here: see their pages
 """
 
 import json
@@ -21,7 +22,7 @@
 
 PATIENCE = 5 * SECOND   # that a reader has for its request, and for each piece of the answer
 IDLE = 60 * SECOND      # that it may keep a connection without asking
-MOST_HEAD = 16_384
+MOST_HEAD = MOST_BODY = 16_384
 PIECE = 32_768
 
 
@@ -29,8 +30,10 @@
     """The listener and its readers. `cut` makes a whole cut, `clear` forgets the findings."""
 
     def __init__(self, hub: Hub, where: str | tuple[str, int], most: int, cut: Callable[[], Cut],
-                 clear: Callable[[], int], log: Callable[[str], None]) -> None:
+                 clear: Callable[[], int], log: Callable[[str], None],
+                 routes: Mapping[tuple[bytes, bytes], Callable[[bytes], Any]]) -> None:
         self.hub, self.where, self.most, self.cut, self.clear, self.log = hub, where, most, cut, clear, log
+        self.routes = routes    # of other subsystems: by method and path, what they make of the body, as JSON
         self.here = 0
         self.sock = opened(where)
         self.fd = self.sock.fileno()
@@ -81,7 +84,7 @@
 
     def _one(self, sock: socket.socket, reader: h11.Connection, patience: int) -> bool:
         """One request and its answer; may there be another?"""
-        asked, until = None, self.hub.now + patience
+        asked, body, until = None, b"", self.hub.now + patience
         while True:
             event = reader.next_event()
             if event is h11.NEED_DATA:
@@ -92,9 +95,11 @@
                 asked = event
             elif isinstance(event, h11.EndOfMessage):
                 break
-            elif not isinstance(event, h11.Data):
+            elif not isinstance(event, h11.Data) or len(body) > MOST_BODY:
                 return False
-        status, kind, body = self._answer(asked.method, asked.target.partition(b"?")[0])
+            else:
+                body += event.data
+        status, kind, body = self._answer(asked.method, asked.target.partition(b"?")[0], body)
         head = h11.Response(
             status_code=status, headers=[("Content-Type", kind), ("Transfer-Encoding", "chunked")])
         self._write(sock, reader.send(head) or b"")
@@ -105,7 +110,7 @@
         self._write(sock, reader.send(h11.EndOfMessage()) or b"")
         return reader.our_state is h11.DONE and reader.their_state is h11.DONE
 
-    def _answer(self, method: bytes, target: bytes) -> tuple[int, str, Iterable[bytes]]:
+    def _answer(self, method: bytes, target: bytes, asked: bytes) -> tuple[int, str, Iterable[bytes]]:
         if (method, target) == (b"GET", b"/metrics"):
             from corkgauge.figures import exposition
             return 200, exposition.CONTENT_TYPE, exposition.pieces(self.cut())
@@ -115,6 +120,11 @@
             return 200, "application/json", [json.dumps(self.cut()["audit"]).encode()]
         if (method, target) == (b"POST", b"/clear"):
             return 200, "application/json", [json.dumps({"cleared": self.clear()}).encode()]
+        if route := self.routes.get((method, target)):
+            try:
+                return 200, "application/json", [json.dumps(route(asked)).encode()]
+            except (ValueError, KeyError, TypeError) as problem:
+                return 400, "application/json", [json.dumps({"wrong": str(problem)[:200]}).encode()]
         return 404, "text/plain", [b"GET /metrics, /figures, /findings; POST /clear\n"]
 
     def _write(self, sock: socket.socket, data: bytes) -> None:
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -90,6 +90,8 @@
         self.answering: dict[Order, None] = {}      # have their end, and their answer has not left whole
         self.recall: Any = None     # what outlives a restart, likewise
         self.flows: Any = None      # what every connection carries, told to collectors, likewise
+        # What the figures' door answers for other subsystems, by method and path.
+        self.routes: dict[tuple[bytes, bytes], Callable[[bytes], Any]] = {}
         self.waits: Any = None      # sketches of what took how long, where an operator file wants them
         self.called: dict[HandOff, Errand] = {}     # called off, and the gateway has yet to hear of it
         self.records = Records(self)
--- a/corkgauge/operator.py
+++ b/corkgauge/operator.py
@@ -4,6 +4,7 @@
 file, and is imported only where `--operator` names one.
 """
 
+import os
 from dataclasses import dataclass
 from importlib.resources import files
 from ipaddress import ip_address
@@ -16,6 +17,8 @@
 
 LARGEST = 2 ** 20       # bytes of a file
 MOST_DATAGRAM = 65_507  # octets of a datagram, on IPv4
+LEAST_KEY = 32          # octets of a key that fellows share
+MOST_VOTERS = 7
 MOST_UNIX = 107         # bytes of a Unix socket's path, by the system's own limit
 
 
@@ -76,6 +79,31 @@
     kept: int
 
 
+@dataclass(frozen=True, slots=True)
+class Fellows:
+    """The other gateways, ourselves among them: (name, address, hall); secrets of 32 octets or more; where we
+    listen, None for our own address among them; `period` in tenths of a millisecond."""
+
+    keys: tuple[bytes, ...]
+    fellows: tuple[tuple[str, tuple[str, int], str], ...]
+    listen: tuple[str, int] | None
+    period: int
+
+
+@dataclass(frozen=True, slots=True)
+class Duties:
+    """Leases: spans are tenths of a millisecond. `duties` are (name, kind, each)."""
+
+    version: int
+    voters: tuple[str, ...]
+    duties: tuple[tuple[str, str, int], ...]
+    lease: int
+    longest: int
+    margin: int
+    drift: float
+    folder: str
+
+
 @dataclass(frozen=True, slots=True)
 class Operated:
     """One operator file, whole. What has no element is None."""
@@ -84,6 +112,8 @@
     figures: Figures | None
     flows: Flows | None
     recall: Recall | None
+    fellows: Fellows | None
+    duties: Duties | None
 
 
 def read(path: str) -> Operated:
@@ -108,7 +138,8 @@
         first = schema.error_log[0]
         raise Faulty(f"{path}:{first.line}: {first.message}")
     return Operated(path, _figures(path, tree.find("figures")), _flows(path, tree.find("flows")),
-                    _recall(tree.find("recall")))
+                    _recall(tree.find("recall")), _fellows(path, tree.find("fellows")),
+                    _duties(path, tree))
 
 
 def _figures(path: str, said: Any) -> Figures | None:
@@ -139,25 +170,100 @@
                   int(said.get("kept", "3")))
 
 
+def _fellows(path: str, said: Any) -> Fellows | None:
+    if said is None:
+        return None
+    lines = [(each, each.get("name"), each.get("address"), each.get("hall", ""))
+             for each in said.findall("fellow")]
+    roster = said.get("roster")
+    for number, line in enumerate(_read(path, said, roster).splitlines() if roster else (), 1):
+        words = line.partition("#")[0].split()
+        if words:
+            if len(words) not in (2, 3):
+                raise Faulty(f"{roster}:{number}: expected NAME ADDRESS:PORT HALL, found {line[:80]!r}")
+            lines.append((said, *words, *[""] * (3 - len(words))))
+    found: dict[str, tuple[str, tuple[str, int], str]] = {}
+    for element, name, address, hall in lines:
+        if name in found:
+            raise _wrong(path, element, f"each fellow once, found {name!r} again")
+        found[name] = name, _address(path, element, address), hall
+    listen = said.get("listen")
+    return Fellows(tuple(_key(path, each) for each in said.findall("key")), tuple(found.values()),
+                   None if listen is None else _address(path, said, listen), _span(said, "period", "0.5"))
+
+
+def _key(path: str, said: Any) -> bytes:
+    """Danger: a key that others may read is none."""
+    name = said.get("file")
+    text = _read(path, said, name)
+    try:
+        secret = bytes.fromhex(text.strip())
+    except ValueError:
+        secret = b""
+    if len(secret) < LEAST_KEY:
+        raise _wrong(path, said, f"{2 * LEAST_KEY} hexadecimal digits or more in {name}")
+    if os.stat(name).st_mode & 0o007:
+        raise _wrong(path, said, f"a file that others may not read, {name} is open to all")
+    return secret
+
+
+def _read(path: str, said: Any, name: str) -> str:
+    try:
+        with open(name, encoding="utf-8") as file:
+            return file.read(LARGEST)
+    except (OSError, UnicodeDecodeError) as problem:
+        raise _wrong(path, said, f"a readable {name}: {getattr(problem, 'strerror', 'no text')}") from None
+
+
+def _duties(path: str, tree: Any) -> Duties | None:
+    said = tree.find("duties")
+    if said is None:
+        return None
+    if tree.find("fellows") is None:
+        raise _wrong(path, said, "an element fellows beside it")
+    voters = said.find("voters")
+    names = tuple((voters.text or "").split())
+    if not 1 <= len(names) <= MOST_VOTERS or len({*names}) < len(names):
+        raise _wrong(path, voters, f"1 to {MOST_VOTERS} names, each once")
+    duties = tuple((each.get("name"), each.get("kind", "run"), _span(each, "each", "5"))
+                   for each in said.findall("duty"))
+    if len({name for name, *_ in duties}) < len(duties):
+        raise _wrong(path, said, "duties of different names")
+    lease, margin = _span(said, "lease", "5"), _span(said, "margin", "0.25")
+    drift = float(said.get("drift", "0.01"))
+    longest = _span(said, "longest", said.get("lease", "5"))
+    if lease * (1 - drift) - margin < lease / 2:
+        raise _wrong(path, said, "a margin and a drift that leave half of the lease")
+    if longest < lease:
+        raise _wrong(path, said, "a longest lease no shorter than the lease")
+    return Duties(int(voters.get("version", "1")), names, duties, lease, longest, margin, drift,
+                  said.get("folder", ""))
+
+
+def _address(path: str, said: Any, text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    try:
+        host = str(ip_address(host.strip("[]")))
+        if not 0 < int(port) < 65536:
+            raise ValueError
+    except ValueError:
+        raise _wrong(path, said, f"ADDRESS:PORT, found {text!r}") from None
+    return host, int(port)
+
+
 def _collector(path: str, said: Any, layout: str) -> Collector:
     transport, tls = said.get("transport"), said.find("tls")
     if layout == "netflow9" and transport != "udp":
         raise _wrong(path, said, "transport udp, the only one of netflow9")
     if (transport == "tls") != (tls is not None):
         raise _wrong(path, said, "an element tls with transport tls, and with no other")
-    host, _, port = said.get("address").rpartition(":")
-    try:
-        host = str(ip_address(host.strip("[]")))
-        if not 0 < int(port) < 65536:
-            raise ValueError
-    except ValueError:
-        raise _wrong(path, said, f"ADDRESS:PORT, found {said.get('address')!r}") from None
+    address = _address(path, said, said.get("address"))
     if tls is not None and (tls.get("certificate") is None) != (tls.get("key") is None):
         raise _wrong(path, tls, "certificate and key together")
     payload = int(said.get("payload", "1400" if transport == "udp" else "16384"))
     if transport == "udp" and payload > MOST_DATAGRAM:
         raise _wrong(path, said, f"a payload of {MOST_DATAGRAM} octets at most on udp")
-    return Collector((host, int(port)), transport, payload, _span(said, "templates", "300"),
+    return Collector(address, transport, payload, _span(said, "templates", "300"),
                      int(said.get("messages", "1000")), None if tls is None else Tls(
                          tls.get("ca"), tls.get("name"), tls.get("certificate", ""), tls.get("key", "")))
 
--- a/corkgauge/recall/keeping.py
+++ b/corkgauge/recall/keeping.py
@@ -8,11 +8,11 @@
 import os
 import subprocess
 import sys
-import time
 from typing import Any
 
 from corkgauge.figures.shelf import safe
 from corkgauge.interface import NEVER_RAN, RESET, Engine, HandOff
+from corkgauge.loop.boot import boot_of
 from corkgauge.loop.hub import READ, SECOND
 from corkgauge.operator import Recall
 from corkgauge.recall import effects, learned, snapshot, writer
@@ -25,16 +25,6 @@
 ALL_HALLS = "all"
 
 
-def boot_of() -> tuple[str, int]:
-    """This boot's id, and tenths of a millisecond since it, which no setting of the date changes."""
-    try:
-        with open("/proc/sys/kernel/random/boot_id", encoding="ascii") as file:
-            boot = file.read().strip()
-    except OSError:
-        boot = ""
-    return boot, time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 100_000
-
-
 class Keeping:
     """`house` has `hub`, `gateway`, `stated`, `ledger` and `log`."""
 
--- /dev/null
+++ b/corkgauge/standins/undefended.py
@@ -0,0 +1,64 @@
+"""The program with one defence left out, or with a clock that runs fast or slow: for showing that the judge
+objects.
+
+`python -m corkgauge.standins.undefended OFF RATE serve ...`: OFF is any of check, silence, margin, busy,
+joined by commas, or none; RATE how fast the clock since boot runs. `midact` leaves nothing out: the process stops
+itself once, between its look at the clock and the act. Must never be used for anything but that.
+"""
+
+import os
+import signal
+import sys
+
+MIDACT = 40     # acts before the one that it stops in
+
+
+def slanted(rate: float) -> None:
+    """Before anybody has taken the clock by its name."""
+    from corkgauge.loop import boot
+    true, begun = boot.boot_time, boot.boot_time()
+    boot.boot_time = lambda: begun + int((true() - begun) * rate)
+
+
+def without(off: str) -> None:
+    from corkgauge.duties.holder import HOLDING, Holder
+    from corkgauge.duties.roll import Span
+    from corkgauge.duties.voter import Voter
+    if off == "check":
+        # Neither before an act nor at a timer: what was granted once is believed in until a voter says no.
+        Holder.may = lambda self: self.state == HOLDING
+        Holder._lapsed = lambda self: self._wake(self.span.each, self._give)
+    elif off == "busy":
+        Voter._busy = lambda self, vote, who: 0
+    elif off == "midact":
+        from corkgauge.fellows.company import Company
+        call, acts = Company.call, [0]
+
+        def stopped(self: Company, name: str, subject: str, body: list) -> bool:
+            acts[0] += subject == "books" and body[0] == "ask"
+            if acts[0] == MIDACT:
+                acts[0] += 1
+                os.kill(os.getpid(), signal.SIGSTOP)
+            return call(self, name, subject, body)
+        Company.call = stopped
+    elif off in ("silence", "margin"):
+        made = Span.__init__
+
+        def spoilt(self: Span, lease: int, drift: float, margin: int, longest: int = 0) -> None:
+            made(self, lease, 0.0 if off == "margin" else drift, 0 if off == "margin" else margin, longest)
+            if off == "silence":
+                self.silent = 0
+        Span.__init__ = spoilt
+    else:
+        raise SystemExit(f"no defence {off!r}")
+
+
+if __name__ == "__main__":
+    offs, rate_said = sys.argv[1:3]
+    del sys.argv[1:3]
+    slanted(float(rate_said))
+    for each in offs.split(","):
+        if each != "none":
+            without(each)
+    from corkgauge.commands import main
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,398 @@
+"""Duties: votes and grants, lists of voters, every order of events, days with drifting clocks; defences left out."""
+
+import os
+import subprocess
+import sys
+
+import pytest
+
+from corkgauge.duties import preference, store
+from corkgauge.duties.books import FleetBooks, wrong
+from corkgauge.duties.holder import HOLDING, Holder
+from corkgauge.duties.roll import Roll, Span, Unsafe
+from corkgauge.duties.running import ENDING, OVER, RUNNING, WAITING, Running
+from corkgauge.duties.voter import GRANT, PREPARE, PROBE, RELEASE, Voter
+from corkgauge.model.explore import explore
+from corkgauge.model.leases import FAULTS, LEASE, World, drawn, shortest
+
+SECOND = 10_000
+ROLL, SPAN = Roll(1, ["a", "b", "c"], SECOND), Span(SECOND, 0.01, 200)
+
+
+class Booth:
+    """A voter's or holder's host."""
+
+    def __init__(self):
+        self.now, self.date, self.said, self.wakes, self.kept, self.events = 1000, 5, [], [], [], []
+        self.slow_disk = False
+
+    def send(self, name, body):
+        self.said.append((name, body))
+
+    def keep(self, record, then, *what):
+        if self.slow_disk:
+            self.kept.append((record, then, what))
+        else:
+            then(*what)
+
+    def wake(self, delay, method, *what):
+        self.wakes.append((self.now + delay, method, what))
+
+    def chance(self, below):
+        return 0
+
+    def rank(self, duty):
+        return 0
+
+    def log(self, line):
+        self.events.append(line)
+
+    def gained(self, holder):
+        self.events.append("gained")
+
+    def lost(self, holder, why):
+        self.events.append(f"lost: {why}")
+
+    def vacant(self, holder):
+        self.events.append("vacant")
+
+    def asked(self, voter, sort, who="a", start=1, ballot=0, roll=ROLL):
+        """One letter to a voter: yes, no, or None for silence."""
+        before = len(self.said)
+        voter.heard(who, start, [sort, "d", roll.version, roll.mark, 1, ballot])
+        return self.said[-1][1][5] if len(self.said) > before else None
+
+
+def a_voter(kept=(), **more):
+    booth = Booth()
+    return booth, Voter(booth, "b", ROLL, SPAN, dict(kept) if kept is not None else None, **more)
+
+
+def test_a_grant_is_kept_from_others_until_it_is_over_and_no_number_disturbs_it():
+    booth, voter = a_voter()
+    assert booth.asked(voter, PROBE) and booth.asked(voter, PREPARE, ballot=7)
+    assert booth.asked(voter, GRANT, ballot=7)
+    for sort in PROBE, PREPARE, GRANT:
+        assert booth.asked(voter, sort, who="c", ballot=2 ** 59) is False
+    assert booth.asked(voter, GRANT, ballot=7)          # its holder renews it
+    booth.now += SPAN.granted - 1
+    assert booth.asked(voter, PROBE, who="c") is False
+    booth.now += 1
+    assert booth.asked(voter, PROBE, who="c") and booth.asked(voter, PREPARE, who="c", ballot=8)
+    assert booth.asked(voter, GRANT, ballot=7) is False     # what was promised is above it
+
+
+def test_a_holder_that_started_anew_is_another():
+    booth, voter = a_voter()
+    assert booth.asked(voter, PREPARE, ballot=7) and booth.asked(voter, GRANT, ballot=7)
+    assert booth.asked(voter, PREPARE, start=2, ballot=9) is False
+
+
+def test_a_duty_that_is_given_back_is_free_at_once_and_a_late_grant_binds_nobody():
+    booth, voter = a_voter()
+    assert booth.asked(voter, PREPARE, ballot=7) and booth.asked(voter, GRANT, ballot=7)
+    assert booth.asked(voter, RELEASE, who="c", ballot=7) is None
+    assert booth.asked(voter, PROBE, who="c") is False      # not its to give back
+    booth.asked(voter, RELEASE, ballot=7)
+    assert booth.asked(voter, GRANT, ballot=7) is False and booth.asked(voter, PROBE, who="c")
+
+
+def test_a_voter_that_may_have_forgotten_is_silent_for_a_longest_lease():
+    booth, voter = a_voter(kept=None)
+    assert booth.asked(voter, PROBE) is None and not voter.votes_now
+    booth.now += SPAN.silent
+    assert booth.asked(voter, PROBE) and voter.votes_now
+
+
+def test_a_voter_with_a_folder_says_nothing_before_it_is_written_and_needs_no_silence():
+    booth, voter = a_voter()
+    booth.slow_disk = True
+    assert booth.asked(voter, PREPARE, ballot=7) is None
+    record, then, what = booth.kept.pop()
+    then(*what)
+    assert booth.said[-1][1][5] is True
+    booth.slow_disk = False
+    assert booth.asked(voter, GRANT, ballot=7)
+    record = {"d": voter.votes["d"].record()}
+    again, voter = a_voter(kept=record)
+    assert again.asked(voter, PROBE, who="c") is False and again.asked(voter, GRANT, ballot=7)
+    assert again.asked(voter, PREPARE, who="c", ballot=6) is False
+
+
+def test_another_list_gets_no_vote_and_an_older_one_gives_none():
+    booth, voter = a_voter()
+    newer = Roll(2, ["a", "b"], SECOND)
+    assert booth.asked(voter, PROBE, roll=Roll(1, ["a", "b"], SECOND)) is None
+    assert booth.asked(voter, PROBE) is True
+    assert booth.asked(voter, PROBE, roll=newer) is None and booth.events
+    assert booth.asked(voter, PROBE) is None        # it has an old file, and lends its vote to nobody
+    voter.renew(newer, SPAN)
+    assert booth.asked(voter, PROBE, roll=newer) is None
+    booth.now += SPAN.silent
+    assert booth.asked(voter, PROBE, roll=newer) is True
+
+
+@pytest.mark.parametrize("body", [[PROBE, "d", 1, ROLL.mark, 1, -1], [PREPARE, "d", 1, ROLL.mark, 1, 2 ** 60],
+                                  [PREPARE, "d", 1, ROLL.mark, 1, "7"], [PREPARE, 7, 1, ROLL.mark, 1, 7], [PROBE],
+                                  [99, "d", 1, ROLL.mark, 1, 7]])
+def test_a_letter_that_makes_no_sense_changes_no_vote(body):
+    booth, voter = a_voter()
+    with pytest.raises((ValueError, TypeError, KeyError)):
+        voter.heard("a", 1, body)
+    assert all(vote.record() == [0, 0, "", 0] for vote in voter.votes.values()) and not booth.said
+
+
+def test_names_of_duties_without_end_do_not_fill_a_voter():
+    booth, voter = a_voter()
+    for n in range(300):
+        voter.heard("a", 1, [PROBE, f"d{n}", 1, ROLL.mark, 1, 0])
+    assert len(voter.votes) == 64 and voter.counts["too many duties"] == 236
+
+
+def test_steps_between_lists():
+    one = Roll(1, "abc", 5)
+    there = {name: (1, one.mark) for name in "abc"}
+    for new in Roll(2, "abcd", 5), Roll(2, "ab", 5), Roll(2, "abc", 9), Roll(1, "abc", 5):
+        one.step_to(new, there)
+    for new, told in ((Roll(3, "abcd", 5), there), (Roll(2, "abd", 5), there), (Roll(1, "abcd", 5), there),
+                      (Roll(2, "abcd", 5), {"a": (1, one.mark), "b": (0, 7)})):
+        with pytest.raises(Unsafe):
+            one.step_to(new, told)
+
+
+def test_majorities_of_lists_one_step_apart_always_meet():
+    from itertools import combinations
+    for many in range(1, 7):
+        small, large = range(many), range(many + 1)
+        for one in combinations(small, many // 2 + 1):
+            for other in combinations(large, (many + 1) // 2 + 1):
+                assert {*one} & {*other}
+
+
+class Candidate:
+    """A holder against voters that answer as the test says."""
+
+    def __init__(self):
+        self.booth = Booth()
+        self.holder = Holder(self.booth, "d", "a", ROLL, SPAN)
+
+    def pass_time(self, span):
+        until = self.booth.now + span
+        while due := min((each for each in self.booth.wakes if each[0] <= until), key=lambda each: each[0],
+                         default=None):
+            self.booth.wakes.remove(due)
+            self.booth.now = max(self.booth.now, due[0])
+            due[1](*due[2])
+        self.booth.now = until
+
+    def answer(self, *voters, yes=True, left=0):
+        """The last letter to each of these is answered."""
+        for voter in voters:
+            body = next(body for name, body in reversed(self.booth.said) if name == voter)
+            self.holder.heard(voter, [body[0] + 1, "d", 1, ROLL.mark, body[4], yes, 0, left, ""])
+
+    def hold(self):
+        self.pass_time(10)
+        for _ in range(3):
+            self.answer("a", "b")
+        assert self.holder.state == HOLDING
+        return self
+
+
+def test_a_duty_is_held_from_before_it_was_asked_for_and_not_a_moment_longer():
+    one = Candidate()
+    one.pass_time(10)
+    one.answer("a", "b")
+    one.answer("b", "c")
+    asked = one.booth.now
+    one.pass_time(300)      # the answers take their time, and that is lost
+    one.answer("a", "c")
+    assert one.holder.may() and one.holder.until <= asked + 300 + SPAN.held
+    one.booth.now = one.holder.until - 1
+    assert one.holder.may()
+    one.booth.now = one.holder.until
+    assert not one.holder.may() and one.holder.state == HOLDING     # whatever its timers say
+
+
+def test_grants_of_a_minority_hold_nothing_and_old_ones_run_out_voter_by_voter():
+    one = Candidate().hold()
+    until = one.holder.until
+    one.pass_time(2 * SPAN.each)
+    one.answer("a")
+    assert one.holder.until == until
+    one.answer("c")
+    assert one.holder.until > until
+    one.pass_time(SECOND)
+    assert not one.holder.may() and "lost: lapsed" in one.booth.events
+
+
+def test_a_late_answer_of_an_earlier_time_in_office_counts_for_nothing():
+    one = Candidate().hold()
+    one.pass_time(SPAN.each)
+    late = [body for name, body in one.booth.said if name == "b"][-1]
+    one.holder.give_up("told")
+    one.pass_time(SECOND)
+    for _ in range(2):
+        one.answer("a", "b")
+    one.holder.heard("b", [late[0] + 1, "d", 1, ROLL.mark, late[4], True, 0, 0, ""])
+    one.holder.heard("a", [late[0] + 1, "d", 1, ROLL.mark, late[4], True, 0, 0, ""])
+    assert not one.holder.may()
+
+
+def test_a_candidate_comes_back_when_a_majority_is_free_again():
+    one = Candidate()
+    one.pass_time(10)
+    one.answer("a", "b", yes=False, left=4000)
+    before = len(one.booth.said)
+    one.pass_time(3990)
+    assert len(one.booth.said) == before
+    one.pass_time(100)
+    assert len(one.booth.said) > before
+
+
+def test_a_planned_end_is_told_to_voters_and_to_the_next():
+    one = Candidate().hold()
+    one.holder.give_up("told")
+    assert [body[0] for _, body in one.booth.said[-3:]] == [RELEASE] * 3 and not one.holder.may()
+    assert one.booth.events[-2:] == ["lost: told", "vacant"]
+
+
+def test_an_outbid_holder_gives_up_and_comes_back_above():
+    one = Candidate().hold()
+    one.holder.outbid(one.holder.fence + 10 ** 6)
+    assert not one.holder.may()
+    high = one.holder.seen
+    one.pass_time(200)
+    for _ in range(3):
+        one.answer("a", "b")
+    assert one.holder.may() and one.holder.fence > high
+
+
+def test_every_order_of_events_near_the_start_and_around_a_holder():
+    near, held = explore(9), explore(5, held=True)
+    assert not near.found and not held.found and held.held > 100
+    assert near.states > 700 and held.states > 500
+
+
+def test_days_with_drifting_clocks_never_have_two_at_once():
+    held = 0
+    for seed in range(60):
+        world = World(drawn(seed, (3, 5)[seed % 2], disk=seed % 3 == 0))
+        assert world.run() == [], drawn(seed, (3, 5)[seed % 2], disk=seed % 3 == 0)
+        held += len(world.handovers)
+    assert held > 100
+
+
+SORTS = {"silence": ("restart", "cut", "cut"), "drift": ("cut", "deaf")}
+
+
+@pytest.mark.parametrize("off", ["silence", "drift", "check", "fence", "busy"])
+def test_the_judge_objects_where_a_defence_is_left_out(off):
+    for seed in range(400):
+        day = drawn(seed, 3, off=(off,), drift=0.1 if off == "drift" else 0.01, sorts=SORTS.get(off, FAULTS), many=8)
+        if World(day).run():
+            short = shortest(day)
+            assert World(short).run() and len(short.faults) <= len(day.faults)
+            return
+    raise AssertionError(f"nothing was found without {off}")
+
+
+def test_the_same_day_is_the_same_day():
+    one, other = World(drawn(7, 5)), World(drawn(7, 5))
+    assert (one.run(), one.handovers, one.acts) == (other.run(), other.handovers, other.acts)
+    assert one.day.length == 12 * LEASE
+
+
+class Child:
+    def __init__(self):
+        self.done = []
+
+    def begin(self, fence):
+        self.done.append(fence)
+
+    def terminate(self):
+        self.done.append("term")
+
+    def kill(self):
+        self.done.append("kill")
+
+
+def test_a_command_is_dead_before_its_duty_is_over():
+    child = Child()
+    running = Running(child, grace=1.0, margin=0.1)
+    running.told(10.0, True, 7, 1.5)
+    assert running.state == WAITING         # too little left to begin
+    running.told(10.0, True, 7, 5.0)
+    assert running.state == RUNNING and child.done == [7]
+    running.told(11.0, True, 7, 5.0)
+    for now, state in ((14.8, RUNNING), (14.91, ENDING), (15.8, ENDING), (15.91, OVER)):
+        running.looked(now)
+        assert running.state == state, now
+    assert child.done == [7, "term", "kill"]
+
+
+@pytest.mark.parametrize("answer", [(11.0, False, 0, 0.0), (11.0, True, 8, 5.0)])
+def test_a_command_is_ended_when_its_duty_is_gone_or_had_anew(answer):
+    child = Child()
+    running = Running(child, 1.0, 0.1)
+    running.told(10.0, True, 7, 5.0)
+    running.told(*answer)
+    assert running.state == ENDING and child.done == [7, "term"]
+    running.ended()
+    running.looked(99.0)
+    assert child.done == [7, "term"]
+
+
+@pytest.mark.parametrize("cut", range(0, 40, 4))
+def test_kept_votes_are_whole_or_nothing(cut):
+    data = store.packed(b"votes of a voter")
+    assert store.unpacked(data) == b"votes of a voter"
+    if cut < len(data):
+        assert store.unpacked(data[:cut]) is None
+        assert store.unpacked(data[:cut] + bytes([data[cut] ^ 1]) + data[cut + 1:]) is None
+
+
+def test_the_helper_answers_what_is_safe_and_only_that(tmp_path):
+    path = str(tmp_path / "votes")
+    frames = b"".join(store.FRAME.pack(n, 4) + b"vot%d" % n for n in (1, 2))
+    done = subprocess.run([sys.executable, store.__file__, path], input=frames + store.FRAME.pack(3, 9) + b"part",
+                          capture_output=True)
+    assert done.stdout == b"\1\0\0\0\2\0\0\0" and store.unpacked(open(path, "rb").read()) == b"vot2"
+    gone = subprocess.run([sys.executable, store.__file__, str(tmp_path / "no" / "votes")], input=frames,
+                          capture_output=True)
+    assert gone.stdout == b"" and not os.path.exists(tmp_path / "no")
+
+
+def account(epoch, taken, served, handed, engines=None, open_=0):
+    return {"epoch": epoch, "taken": taken, "served": served, "refused": 0, "failed": 0, "open": open_,
+            "handed": handed, "engines": handed if engines is None else engines, "ended": handed, "out": 0}
+
+
+def test_the_fleets_books_add_up_over_epochs_and_say_what_does_not():
+    books = FleetBooks()
+    books.begin()
+    books.tells("n1", account("x", 5, 4, 5, open_=1))
+    books.tells("n2", account("y", 7, 7, 7))
+    entry = books.entry(9, 1, 0, ["n2", "n3"])
+    assert (entry["taken"], entry["missing"], entry["wrong"], entry["cut_off"]) == (12, ["n3"], [], 0)
+    books.begin()
+    books.tells("n1", account("z", 1, 1, 1))        # it started anew: what was open was cut off
+    books.tells("n2", account("y", 6, 6, 6))
+    entry = books.entry(9, 2, 0, ["n2"])
+    assert entry["taken"] == 12 and entry["cut_off"] == 1 and "n2: taken was 7, is 6" in entry["wrong"]
+    books.tells("n2", account("y", 9, 8, 9, engines=8))
+    assert any("engines were handed" in line for line in books.entry(9, 3, 0, [])["wrong"])
+    with pytest.raises(ValueError):
+        books.tells("n3", {"epoch": "q", "taken": -1})
+    for n in range(40):
+        books.tells("n4", account(f"e{n}", 1, 1, 1))
+    assert books.entry(9, 4, 0, [])["taken"] == 5 + 1 + 9 + 40 and wrong(account("q", 1, 0, 0)) != []
+
+
+def test_candidates_agree_on_an_order_and_an_overloaded_one_says_so():
+    fellows = [(f"n{n}", f"hall-{n % 3}") for n in range(9)]
+    held = {}
+    for duty in "abc":
+        held[duty] = preference.order(duty, fellows, held)[0]
+    assert len({dict(fellows)[name] for name in held.values()}) == 3
+    assert preference.rank("a", "nobody", fellows, {}) == preference.MOST_RANK
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -520,7 +520,7 @@
     with pytest.raises(Faulty):
         door(premises, tmp_path / "file")
     with pytest.raises(OSError):
-        Readers(premises.hub, str(first), 1, dict, int, print)     # somebody listens there
+        Readers(premises.hub, str(first), 1, dict, int, print, {})     # somebody listens there
     said = read_operator(str(tmp_path / "operator.xml")).figures
     with pytest.raises(Faulty):
         bureau.reload(said)     # the file that is no socket: the old door stays
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -705,7 +705,7 @@
         station.dialling = False
     Station.dial = dial
     premises.turn()
-    assert dialled == []        # hundreds of gateways that dial all engines ahead cost more than what they ask
+    assert dialled == []        # hundreds of gateways that dial all engines ahead cost more than they ask
     client = premises.client()
     premises.ask(client, request(1))
     assert len(dialled) == 1
