Recall: segments of the log go when all in them is over; soak tells apart what a kill held

Need: segments went by number, so marks that outlive some 160,000 hand-offs were lost; a soak told 'none' of clients whose submissions were open when the program was killed. Soak counts at_a_kill apart.

--- a/corkgauge/recall/effects.py
+++ b/corkgauge/recall/effects.py
@@ -148,6 +148,10 @@
             if now >= effect[1].until and not effect[1].open:
                 self._drop(effect[1])
 
+    def oldest(self, otherwise: int) -> int:
+        """The lowest serial that still counts."""
+        return next(iter(self.by_serial), otherwise)
+
     def unsettled(self) -> list[Effect]:
         """Without an outcome; after a restart their keys must rest."""
         return [effect for effect in self.by_serial.values() if effect.open]
--- a/corkgauge/recall/keeping.py
+++ b/corkgauge/recall/keeping.py
@@ -17,10 +17,10 @@
 from corkgauge.operator import Recall
 from corkgauge.recall import effects, learned, snapshot, writer
 from corkgauge.recall.ageing import age_of, inf
-from corkgauge.recall.writer import EFFECT, FRAME, SNAPSHOT, segments
+from corkgauge.recall.writer import EFFECT, FLOOR, FRAME, SEGMENT, SEGMENTS, SERIALS, SNAPSHOT, segments
 
 PIPE = 2 ** 20          # octets that the pipe is asked to hold
-MOST_LOG = 16 * 2 ** 20     # octets of the log that are read at a start
+MOST_LOG = SEGMENTS * SEGMENT   # octets of the log that are read at a start, a segment at a time
 AGAIN = 5 * SECOND      # until a helper that ended is started again
 ALL_HALLS = "all"
 
@@ -89,16 +89,17 @@
 
     def _read_effects(self, now: int) -> list[effects.Effect]:
         """The last of the log, as far as its bound; keys with a hand-off of unknown outcome rest."""
-        left, parts = MOST_LOG, []
+        left, paths = MOST_LOG, []
         for _, path in reversed(segments(self.said.folder, self.name, os.listdir(self.said.folder))):
             size = os.path.getsize(path)
             if size > left:
                 self.house.log(f"recall: {path} has {size} octets, more than are read; passed over")
                 break
             left -= size
+            paths.append((path, size))
+        for path, size in reversed(paths):      # one at a time: together they may be more than our memory
             with open(path, "rb") as file:
-                parts.append((path, file.read(size)))
-        for path, data in reversed(parts):
+                data = file.read(size)
             for body, at, wrong in effects.records(data):
                 if body is not None:
                     self.effects.take(body)
@@ -151,6 +152,8 @@
         """A snapshot, in its time; and what is over and forgotten goes. Danger: a fleet's figures take some
         milliseconds to gather; so they are copied in one turn, named in the next, packed in a third."""
         self.effects.expire(self.hub.now)
+        if self.house.recall is self:
+            self._put(FLOOR, SERIALS.pack(self.effects.oldest(self.serial + 1), self.serial))
         self.hub.later(1, self._name, self._moment(), self.house.gateway.remembered())
         self.hub.later(self.said.each, self.keep)
 
--- a/corkgauge/recall/writer.py
+++ b/corkgauge/recall/writer.py
@@ -4,8 +4,9 @@
 gateway never does. It ends with its parent: the pipe's end is its own, also when the parent is killed; what
 the pipe still held by then is written first.
 
-Fed frames: sort (1), length (4), body. `S` a snapshot, `E` records of effects, `N` a new segment. It answers
-a line a trouble on its standard output, at most one a second.
+Fed frames: sort (1), length (4), body. `S` a snapshot, `E` records of effects, `F` two serials (8 each): of the
+oldest effect that still counts, and of the newest. It answers a line a trouble on its standard output, at most one
+a second.
 """
 
 import os
@@ -15,9 +16,10 @@
 from typing import Any
 
 FRAME = struct.Struct("<cI")
-SNAPSHOT, EFFECT = b"S", b"E"
+SNAPSHOT, EFFECT, FLOOR = b"S", b"E", b"F"
+SERIALS = struct.Struct("<QQ")
 SEGMENT = 2 ** 20       # octets of one
-SEGMENTS = 16           # kept, as many as are read at a start: some minutes of hand-offs
+SEGMENTS = 64           # kept at most, as many as are read at a start
 LARGEST = 32 * 2 ** 20
 
 
@@ -62,6 +64,7 @@
         self.folder, self.name, self.durable, self.kept = folder, name, durable, kept
         self.disk = disk or Disk()
         self.file, self.size = None, 0
+        self.bounds: dict[str, int] = {}    # by closed segment: no effect in it has a higher serial; 0: not told yet
 
     def path(self, end: str) -> str:
         return os.path.join(self.folder, f"{self.name}.{end}")
@@ -92,6 +95,16 @@
         if self.durable:
             self.disk.sync(self.file)
 
+    def floor(self, oldest: int, newest: int) -> None:
+        """Segments go when all in them is over. Danger: kept by number, marks that outlive so many hand-offs would be
+        lost; a segment that was closed before this was told holds no effect above the newest."""
+        for path, bound in [*self.bounds.items()]:
+            if not bound:
+                self.bounds[path] = newest
+            elif bound < oldest:
+                self.disk.remove(path)
+                del self.bounds[path]
+
     def _next(self) -> None:
         disk = self.disk
         if self.file is not None:
@@ -99,8 +112,11 @@
         there = segments(self.folder, self.name, disk.names(self.folder))
         number = there[-1][0] + 1 if there else 1
         self.file, self.size = disk.create(self.path(f"effects.{number:08}")), 0
-        for _, path in there[:1 - SEGMENTS]:
+        for _, path in there:
+            self.bounds.setdefault(path, 0)
+        for _, path in there[:1 - SEGMENTS]:    # Danger: a log without end would fill the disk
             disk.remove(path)
+            self.bounds.pop(path, None)
         if self.durable:
             disk.sync_folder(self.folder)
 
@@ -128,7 +144,10 @@
         if len(body) < length:
             return 0        # the parent was killed within a frame: what is not whole never was
         try:
-            (files.snapshot if sort == SNAPSHOT else files.effects)(body)
+            if sort == FLOOR:
+                files.floor(*SERIALS.unpack(body))
+            else:
+                (files.snapshot if sort == SNAPSHOT else files.effects)(body)
         except OSError as problem:
             files.file = None
             if time.monotonic() > told + 1:
--- a/corkgauge/standins/play.py
+++ b/corkgauge/standins/play.py
@@ -199,7 +199,10 @@
         for client in self.clients:
             for name, count in client.tally().items():
                 said[name] = said.get(name, 0) + count
-        return said
+        # What the program held when it was killed outright is owed by nobody; any other without an answer is lost.
+        killed = sum(not ask.answers and not ask.excused and rules.at_a_kill(ask, self.program.kills)
+                     for client in self.clients for ask in client.book)
+        return {**said, "none": said["none"] - killed, "at_a_kill": killed}
 
     def kept(self) -> str:
         """The path of the file of figures."""
--- a/corkgauge/standins/rules.py
+++ b/corkgauge/standins/rules.py
@@ -47,8 +47,7 @@
     for ask in asks:
         until = ask.sent + 10 * ask.want.patience + slack
         if not ask.answers:
-            if not ask.excused and not any(ask.sent - MOMENT <= moment <= until
-                                            for moment in killed):
+            if not ask.excused and not at_a_kill(ask, killed, slack):
                 found.append(f"lost: {ask.trace} of {ask.want.offering} has no answer")
             continue
         when, code, body = ask.answers[0]
@@ -63,6 +62,12 @@
     return found
 
 
+def at_a_kill(ask: Ask, killed: list[int], slack: int = SLACK) -> bool:
+    """Was the gateway killed outright while this was open, as far as its client can tell?"""
+    until = ask.sent + 10 * ask.want.patience + slack
+    return any(ask.sent - MOMENT <= moment <= until for moment in killed)
+
+
 def twice(runs: list[Run], stakes: Stakes) -> list[str]:
     """A labelled one only where its label is known, an irreversible one once."""
     found, by_trace = [], defaultdict[str, list[Run]](list)
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -437,3 +437,28 @@
     os.close(kept.lock)
     assert run(group, ["recall", "prune", str(tmp_path), "--gateway", "n"]).exit_code == 0
     assert {path.name for path in tmp_path.iterdir()} == {"n.lock"}
+
+
+def test_segments_go_when_all_in_them_is_over_and_not_before(tmp_path, monkeypatch):
+    monkeypatch.setattr(writer, "SEGMENT", 500)
+    files = Files(str(tmp_path), "n", False, 1)
+
+    def there():
+        return [path.name[-8:] for path in sorted(tmp_path.glob("n.effects.*"))]
+    for serial in range(1, 401):        # far more than sixteen segments of one mark that is remembered long
+        files.effects(effects.sent(effect(serial)))
+        if serial % 10 == 0:
+            files.floor(1, serial)
+    many = len(there())
+    assert 16 < many <= writer.SEGMENTS
+    found = Effects()
+    for _, path in segments(str(tmp_path), "n", os.listdir(tmp_path)):
+        with open(path, "rb") as file:
+            for body, _, _ in effects.records(file.read()):
+                assert body is None or found.take(body)
+    assert found.oldest(0) == 1 and len(found) == 400
+    files.floor(200, 400)       # all below is over
+    left = len(there())
+    assert many // 3 < left < many
+    files.floor(401, 400)
+    assert len(there()) == 1    # the one that is written to
