Links are opened ahead where a gateway's part of an engine is at least one hand-off

Change: the condition is the module's own figure for its exceptions at size (a part below one hand-off), in place of a count of hand-offs in a second; a few gateways do as they did before.

--- a/corkgauge/net/engines.py
+++ b/corkgauge/net/engines.py
@@ -19,7 +19,6 @@
 MID_ANSWER = 3_000      # that an engine may take over one answer, once it has begun
 SIGN, NO_SIGN = 5_000, 5_000    # quiet of a link with hand-offs out until it is asked for a sign; its time
 LIVELY = SIGN + 4_000   # longest between two answers of a link that is asked for signs when it is quiet
-BUSY = 4                # hand-offs to an engine in about a second, from which one link is opened ahead
 SPREAD = 6              # links to an engine at most, while that keeps hand-offs apart
 PAST = 500              # ids of hand-offs that a link has done with, remembered against copies
 NAME = re.compile(r"[0-9a-f]{16}").fullmatch
@@ -204,7 +203,6 @@
         self.links: list[EngineLink] = []
         self.waiting: deque[Errand] = deque()
         self.dialling, self.spare_from = False, 0
-        self.lately, self.since = 0, 0      # hand-offs written, from then on: a second at the least
 
     def fill(self) -> None:
         """Write what waits to links that have room; dial where there are none."""
@@ -218,16 +216,13 @@
             if link is None or not link.take(self.waiting[0]):
                 break
             self.waiting.popleft()
-            if self.house.now > self.since + SECOND:
-                self.lately, self.since = 0, self.house.now
-            self.lately += 1
         most = self.house.links_each()
         # Danger: hundreds of gateways that dial each engine ahead, most of which they send nothing, cost the
-        # engines more than they ask. So the first link waits for a hand-off, and a further one until two had
-        # to share, or are about to.
+        # engines more than they ask. So where a gateway's part of an engine is below one hand-off, the first
+        # link waits for one, and a further one until two had to share.
         spare = len(self.links) < min(most, SPREAD) and all(each.open for each in self.links) and (
             self.house.now >= self.spare_from) and (
-            self.lately >= BUSY or any(len(each.open) > 1 for each in self.links))
+            self.house.gateway.slots * self.engine.cores >= 1.0 or any(len(each.open) > 1 for each in self.links))
         if (self.waiting or spare) and not self.dialling and len(self.links) < most:
             self.dialling = True
             self.house.hub.spawn(self.dial, self.address)
