--- a/corkgauge/standins/fleet.py
+++ b/corkgauge/standins/fleet.py
@@ -17,10 +17,12 @@
     at 2 for 3: engine e1           no gateway reaches it, and nothing is told
 """
 
+import json
 import os
 import secrets
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -35,7 +37,7 @@
 from corkgauge.standins.feed import FeedStandIn
 from corkgauge.standins.judge import Judge, vacancies, verdict
 from corkgauge.standins.play import CORES, HALLS, KINDS, STAKES, WANTS, WORK, settings
-from corkgauge.standins.program import Program, free_port
+from corkgauge.standins.program import Program
 from corkgauge.standins.relay import Passage, Way
 
 JUDGE = "judge"
@@ -151,8 +153,11 @@
         self.fleet, self.name, self.hall = fleet, f"n{number}", HALLS[number % 2]
         self.folder = os.path.join(fleet.folder, self.name)
         os.mkdir(self.folder)
-        self.address = "127.0.0.1", free_port()
-        self.listen = "127.0.0.1", _free_datagram_port()
+        # Danger: ports that are only looked up may be the same for two of thirty; they are held until all start.
+        self.reserved = [socket.socket(socket.AF_INET, sort) for sort in (socket.SOCK_STREAM, socket.SOCK_DGRAM)]
+        for sock in self.reserved:
+            sock.bind(("127.0.0.1", 0))
+        self.address, self.listen = (sock.getsockname() for sock in self.reserved)
         self.program: Any = None
         self.burner: subprocess.Popen | None = None
         self.troubled: list[int] = []       # when it was stopped, killed or kept from its processor
@@ -234,6 +239,9 @@
     # Playing.
 
     def start(self) -> None:
+        for gateway in self.gateways.values():
+            for sock in gateway.reserved:
+                sock.close()
         for gateway in self.gateways.values():
             gateway.program.start()
         self.begun = self.hub.now
@@ -372,13 +380,13 @@
         command = [sys.executable, "-c", "import sys, json; from corkgauge.figures.asking import ask; print(json.dumps("
                    "ask(sys.argv[1], sys.argv[2], sys.argv[3], 5.0, json.loads(sys.argv[4]))))",
                    f"{self.gateways[name].folder}/figures.sock", target, "POST" if body else "GET",
-                   __import__("json").dumps(body)]
+                   json.dumps(body)]
         process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
         self.until(10, lambda: process.poll() is None)
         out, wrong = process.communicate()
         if process.returncode:
             raise OSError(wrong.strip().splitlines()[-1] if wrong.strip() else "no answer")
-        return __import__("json").loads(out)
+        return json.loads(out)
 
     # What was seen.
 
@@ -407,10 +415,3 @@
     def __init__(self, engine: EngineStandIn, address: str) -> None:
         self.name, self.address, self.hall, self.kind = engine.name, address, engine.hall, engine.kind
         self.started_ms = engine.started_ms
-
-
-def _free_datagram_port() -> int:
-    import socket
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
