--- a/benchmarks/recall.py
+++ b/benchmarks/recall.py
@@ -230,7 +230,7 @@
         engine.view.slowness.extend([1.5] * 8)
         engine.view.faults.extend([""] * 8)
     begun = time.perf_counter()
-    copies = house.gateway.remembered()
+    copies = learned.copied(house.gateway)
     copied = time.perf_counter()
     named = learned.named(copies)
     middle = time.perf_counter()
--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -1,10 +1,9 @@
 """All decisions of the gateway.
 
-A host builds one `Gateway`, hands itself over, and calls one method for each thing that happens: those
-without an underscore. The gateway acts by calling the host back; `interface.py` holds the host protocol,
-the outcome names and the records. Times are whole tenths of a millisecond. The ordinary path is in
-docs/design.md; what follows a comment that starts with "Danger" is an exception, and acts only on the
-symptom named there.
+A host builds one `Gateway` and calls one method for each thing that happens: those without an underscore.
+The gateway calls the host back; `interface.py` holds the host protocol, outcome names and records. Times are
+whole tenths of a millisecond. The ordinary path is in docs/design.md; what follows a comment that starts with
+"Danger" is an exception, and acts only on the symptom named there.
 """
 
 from bisect import bisect_right, insort
@@ -14,27 +13,9 @@
 from struct import pack
 from zlib import crc32
 
-from corkgauge.interface import (
-    CALLED_OFF,
-    ERROR,
-    FULL,
-    HONOURED,
-    LABELLED,
-    NEVER_RAN,
-    PROGRESS,
-    READY,
-    REDOABLE,
-    RESET,
-    TIMED_OUT,
-    UNREACHED,
-    Engine,
-    HandOff,
-    Host,
-    Offering,
-    Queue,
-    Submission,
-    View,
-)
+from corkgauge.interface import CALLED_OFF, ERROR, FULL, HONOURED, LABELLED, NEVER_RAN, PROGRESS, READY
+from corkgauge.interface import REDOABLE, RESET, TIMED_OUT, UNREACHED, Engine, HandOff, Host, Offering
+from corkgauge.interface import Queue, Submission, View
 
 SECOND, MOMENT = 10_000, 200    # a figure of many samples stands for a moment
 PERIOD = 2 * SECOND     # of the feedback
@@ -83,7 +64,7 @@
         self.groups: dict[float, float] = {}    # usual work among them, by table group
         self.orders: dict[float, list[Engine]] = {}
         self.queues: dict[tuple[int, Offering], Queue] = {}
-        self.lost: dict[int, dict[Engine, int]] = {}        # by hall: engines lost since any there gave a sign
+        self.lost: dict[int, dict[Engine, int]] = {}    # by hall: engines lost since any there gave a sign
         self.lines: dict[int, deque[Submission]] = {}       # by key, in the order taken
         self.rests: dict[int, int] = {}                     # by key: a hand-off may still run until then
         self.honoured, self.extras = list[int](), list[int]()   # when taken, when sent, in the budget's span
@@ -118,7 +99,7 @@
         self._pump()
 
     def heard_of(self, engine: Engine, slowness: float, doubt: int) -> None:
-        """Other gateways' findings: how slow it is (0: unknown); 1: one hand-off at a time tells, 2: none now."""
+        """Others' findings: how slow it is (0: unknown); 1: one hand-off at a time tells, 2: none now."""
         engine.view.hint, engine.view.doubt = slowness, doubt
 
     def turn_passed(self, engine: Engine, work: float, when: int) -> None:
@@ -204,6 +185,21 @@
         if self.cancels and left > 3 * self._time_of(sub):
             self._rescue(handoff)
 
+    def may_begin(self, handoff: HandOff) -> bool:
+        """Directly before its first byte, for which it may have waited: does what it rests on still hold?"""
+        sub, engine, now = handoff.submission, handoff.engine, self.host.now
+        ran = [h for h in self._ran(sub) if h is not handoff]
+        # Danger: an engine that was started anew meanwhile is a cold one, and was given no part of this.
+        if sub.over or engine.state != READY or handoff not in engine.view.out or (
+                self._set_aside(sub, engine, ran) or not self._repeatable(sub, ran)):
+            return False
+        if handoff.number and handoff.sent + MOMENT < now and handoff.sent in self.extras:
+            self.extras.remove(handoff.sent)    # it counts in the budget's span from now
+            if not self._extra_left():
+                return False
+            insort(self.extras, now)
+        return True
+
     def patience_over(self, handoff: HandOff) -> None:
         view, now, usual = handoff.engine.view, self.host.now, self._usual_slowness()
         # Danger: an engine that takes work and answers nothing. Any sign clears it; one long or light draw is
@@ -274,11 +270,9 @@
             queue = self._draw(able)
             # Danger: heavy draws take slots like light ones. Where a queue waits, its lightest go first.
             for sub in queue.waiting[:LAST]:
-                engine = self._choose(sub)
-                if engine:
+                if engine := self._choose(sub):
                     self._release(sub, engine)
-                    break
-                if not sub.handoffs:    # the others have no more choice than this one
+                if engine or not sub.handoffs:  # the others have no more choice than this one
                     break
             if not engine or not queue.waiting:
                 able.remove(queue)
@@ -317,10 +311,10 @@
         drawn, work = sum(e.view.drawn for e in order), sub.offering.usual
         even = EVEN * drawn / max(sum(e.cores for e in order), 1)
         wide = home = 0
-        # Danger: under a price the warm engines are overrun, while turns at cold ones further on lapse unused.
+        # Danger: under a price the warm engines are overrun, while turns at cold ones further on lapse.
         all_of_them = self.price > 0 and self.host.now < self.all_warm
         if thin := self.slots * max((e.cores for e in order), default=0) < 1.0:
-            # Danger: hundreds of gateways with a few submissions each all send a group's first one to the same
+            # Danger: hundreds of gateways with a few submissions each all send a group's first to the same
             # engine. A group needs as many homes as its part of the work is engines; each begins at its own.
             wide = EVEN * len(order) * (self.groups.get(sub.tables, 0.0) + work) / (drawn + work)
             wide = min(max(int(wide), 1), len(order))
@@ -354,11 +348,13 @@
                     (offering.group == "zone" and engine.hall != h.engine.hall) or
                     (offering.group == "cell" and engine.cell != h.engine.cell) for h in self._ran(sub))):
             return False
-        # Danger: what may have run is tried again only where its mark is known, be that an engine that drains.
-        if engine.aside and (engine.aside > 1 or offering.repeat != LABELLED or offering.group == "all" or (
-                not self._ran(sub))):
-            return False
-        return not self._cold(engine) or self._cold_room(engine, offering.usual)
+        return not self._set_aside(sub, engine, self._ran(sub)) and (
+            not self._cold(engine) or self._cold_room(engine, offering.usual))
+
+    def _set_aside(self, sub: Submission, engine: Engine, ran: list[HandOff]) -> bool:
+        # Danger: what may have run is tried again only where its mark is known, even where that drains.
+        return engine.aside > 1 or bool(engine.aside) and (
+            sub.offering.repeat != LABELLED or sub.offering.group == "all" or not ran)
 
     def _cold(self, engine: Engine) -> bool:
         return bool(engine.started) and self.host.now < engine.started + self.cold_span
@@ -456,8 +452,7 @@
         """Hand a submission off, with its memory and its priority."""
         now, offering = self.host.now, sub.offering
         self._unqueue(sub)
-        if sub.handoffs:
-            self.extras.append(now)
+        self.extras += [now] if sub.handoffs else []
         priority = 3 if sub.queue.share * len(self.queues) >= 0.999 else 2
         # Danger: heavy draws crowd light ones out on the engine's cores too; one in order holds its line.
         if not offering.ordered:
@@ -505,8 +500,10 @@
         """The rule on effects: may there be another hand-off, whatever the budget says?"""
         ran = self._ran(sub)
         # Danger: what two engines cannot use speaks against the submission; more would spend others' budget.
-        if len(sub.handoffs) >= self.most_handoffs or sum(h.outcome == ERROR for h in ran) > 1:
-            return False
+        return len(sub.handoffs) < self.most_handoffs and sum(h.outcome == ERROR for h in ran) < 2 and (
+            self._repeatable(sub, ran))
+
+    def _repeatable(self, sub: Submission, ran: list[HandOff]) -> bool:
         return not ran or sub.offering.repeat == REDOABLE or (sub.offering.repeat == LABELLED and (
             self.host.now < ran[0].sent + sub.offering.remembered - self.margin))
 
@@ -557,17 +554,7 @@
         if self.rests.get(key, now + 1) <= now:
             del self.rests[key]
 
-    # Memory over a restart: bare figures, aged elsewhere.
-
-    def remembered(self) -> dict:
-        """What was learned, for `recall` of a later start."""
-        return {"price": self.price, "best": self.best, "extras": [*self.extras],
-                "honoured": [*self.honoured],
-                "engines": [(e, [*e.view.slowness], e.view.bound, e.view.rests_until, [*e.view.faults])
-                            for e in self.engines],
-                "offerings": [(each, [*each.samples]) for each in {q.offering: 0
-                                                                   for q in self.queues.values()}],
-                "queues": [(tenant, each, queue.share) for (tenant, each), queue in self.queues.items()]}
+    # Memory over a restart: bare figures, gathered and aged elsewhere.
 
     def recall(self, said: dict) -> None:
         """Before the first submission. Cold and drain rules know nothing of it."""
--- a/corkgauge/daemon.py
+++ b/corkgauge/daemon.py
@@ -1,9 +1,8 @@
 """The program's start and end: listening, signals, logging, the way out.
 
-Owns the listener and the signals. Must never touch a submission itself.
+Owns the signals. Must never touch a submission itself.
 """
 
-import errno
 import gc
 import os
 import resource
@@ -20,13 +19,14 @@
 from corkgauge.configuration import Faulty, Post
 from corkgauge.loop import log
 from corkgauge.loop.hub import READ, SECOND, Hub
+from corkgauge.loop.link import NEVER
+from corkgauge.net.door import Door
 from corkgauge.net.feed import Feed
 from corkgauge.net.frames import FramesHouse
 from corkgauge.net.host import Aside, House, stated_of
 
-BACKLOG = 4096
+KEPT: list[socket.socket] = []      # the end that signals write to
 MOST_MEMORY = 0.75      # of its limit, before garbage is collected
-BUSY = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 def memory_held() -> int:
@@ -194,49 +194,32 @@
     return 0
 
 
-def serve(post: Post, operator_file: str = "", log_form: str = "plain") -> int:
-    """Serve until told to end; `log_form` is plain or json."""
+def heed() -> socket.socket:
+    """From now on signals are bytes at this socket, to be read when there is somebody to read them. Danger: one that
+    comes while the program starts would end it, and a configuration that changed just then would be missed; so this
+    comes before the configuration is read."""
+    woken, waker = socket.socketpair()
+    for end in woken, waker:
+        end.setblocking(False)
+    signal.set_wakeup_fd(waker.fileno(), warn_on_full_buffer=False)
+    KEPT.append(waker)
+    for sign in signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP:
+        signal.signal(sign, lambda *_: None)
+    return woken
+
+
+def serve(post: Post, woken: socket.socket, operator_file: str = "", log_form: str = "plain") -> int:
+    """Serve until told to end, by signals that come at `woken` (see `heed`); `log_form` is plain or json."""
     logger.remove()
     logger.add(log.as_json(write_line) if log_form == "json" else write_line, format=log.PLAIN,
                level="INFO", backtrace=False, diagnose=False)
     hub = Hub()
     hub.troubled = Troubles(hub)
     house = FramesHouse(hub, post, logger.info, memory_held())
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
-        listener.bind(post.listen)
-        listener.listen(BACKLOG)
+        door = house.door = Door(hub, house, post.listen, lambda: beside is not None and beside.waiting())
     except OSError as problem:
         raise Faulty(f"listen: {post.listen[0]}:{post.listen[1]}: {problem.strerror}") from None
-    listener.setblocking(False)
-    woken, waker = socket.socketpair()
-    for end in woken, waker:
-        end.setblocking(False)
-    signal.set_wakeup_fd(waker.fileno(), warn_on_full_buffer=False)
-    for sign in signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP:
-        signal.signal(sign, lambda *_: None)
-
-    def accept() -> None:
-        while beside is not None and beside.waiting():
-            hub.sleep(100)
-        while True:
-            hub.wait(listener.fileno(), READ)
-            for _ in range(64):
-                while len(house.callers) >= house.most_callers:
-                    hub.sleep(1 if house.make_room() else 50)   # more wait at the door
-                try:
-                    sock, _ = listener.accept()
-                except OSError as problem:
-                    if problem.errno in BUSY:
-                        house.make_room()
-                        hub.sleep(50)
-                    break
-                try:
-                    house.accepted(sock)
-                except Exception:   # Danger: one bad connection would leave nobody at the door
-                    hub.troubled()
-                    sock.close()
 
     def signals() -> None:
         while True:
@@ -244,9 +227,11 @@
             for sign in woken.recv(64):
                 if sign == signal.SIGUSR1:
                     logger.info(f"counters {house.counters.line(house.ledger.line())} {hub.worst()}")
-                else:   # as a timer: Danger: what either raises must not end this task
-                    hub.later(0, *((feed.reload, os.environ) if sign == signal.SIGHUP else (house.leave,)))
-                    if beside is not None and sign != signal.SIGHUP:
+                elif sign == signal.SIGHUP:     # as a timer: Danger: what it raises must not end this task
+                    hub.later(0, feed.reload, os.environ)
+                elif house.end == NEVER:        # Danger: what is told to end twice would leave twice
+                    hub.later(0, house.leave)
+                    if beside is not None:
                         hub.later(0, beside.leave)
 
     def collect() -> None:
@@ -258,7 +243,7 @@
 
     beside = Beside(house, post, operator_file) if operator_file else None
     feed = Source(house, post, beside)
-    for task in accept, signals:
+    for task in door.run, signals:
         hub.spawn(task)
     gc.collect()
     gc.freeze()
--- a/corkgauge/loop/hub.py
+++ b/corkgauge/loop/hub.py
@@ -17,6 +17,7 @@
 SECOND = 10_000         # in tenths of a millisecond
 READ, WRITE = select.POLLIN, select.POLLOUT
 BROKEN = select.POLLHUP | select.POLLERR | select.POLLNVAL
+GONE = select.POLLRDHUP     # the peer writes no more, whatever of it still lies unread
 
 
 def unix_time() -> int:
@@ -45,6 +46,7 @@
         # When this turn began, how long the one before took, and the longest but the first, which starts all.
         self.began, self.lasted, self.worst_turn = self.now, 0, -1
         self.poller, self.parked = select.poll(), dict[int, tuple[greenlet, int]]()
+        self.glance = select.poll()
         self.ready = deque[tuple[greenlet, tuple]]()
         # Timers by the whole millisecond that follows them, as poll knows no finer time: far cheaper than a
         # heap of all, of which there are ten thousand and more.
@@ -86,6 +88,15 @@
         self.poller.register(fd, mask)
         return self.main.switch()
 
+    def look(self, *fds: int) -> list[int]:
+        """What there is at each of these descriptors at this moment; never waits."""
+        for fd in fds:
+            self.glance.register(fd, READ | GONE)
+        found = dict(self.glance.poll(0))
+        for fd in fds:
+            self.glance.unregister(fd)
+        return [found.get(fd, 0) for fd in fds]
+
     def interest(self, fd: int, mask: int) -> None:
         """Change what a parked task waits for."""
         if fd in self.parked:
--- a/corkgauge/loop/link.py
+++ b/corkgauge/loop/link.py
@@ -8,12 +8,14 @@
 import socket
 from typing import Any
 
-from corkgauge.loop.hub import BROKEN, READ, WRITE, Hub
+from corkgauge.loop.hub import BROKEN, GONE, READ, WRITE, Hub
 
 ROUNDS = 2          # reads in a row, before others have their turn
 MOST_READ = 16_384  # bytes of one
 STALLED = 500       # until a link that found no room in memory asks again
 FAREWELL = 10_000   # that a peer which is turned out has for reading why
+CROSSING = 500      # that what a peer had written before it saw our end may take; it is dropped
+MOST_LOOK = 8       # reads of one look at a peer that writes without end
 UNREAD = bytearray(65_536)      # where what it still sends goes, of all of them
 NEVER = 2 ** 62
 RETRY = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
@@ -34,9 +36,10 @@
         self.hub, self.sock, self.machine, self.owner = hub, sock, machine, owner
         self.fd, self.why, self.stuck = sock.fileno(), "", stuck   # that one frame may take; 0: any time
         self.greets, self.parting, self.since = greets, False, hub.now
+        self.farewell, self.advancing = FAREWELL, False
         self.put = self.sent = self.got = 0     # bytes, since it came up
         self.blocked = self.unsent = False  # the socket takes no more; a write is due at the end of this turn
-        self.heard = hub.now
+        self.heard = self.wrote = hub.now
 
     def run(self) -> None:
         """The task of this connection; it ends with it."""
@@ -65,6 +68,10 @@
         events = self.hub.wait(self.fd, self._mask(), until)
         if events & WRITE:
             self.flush()
+        if self.greets and events & GONE and not self.why:
+            # Danger: a client that has gone while its input is paused, or behind much that lies unread, would
+            # not be seen to go. What it left unread is for nobody.
+            self.why = "closed"
         if not room and not self.why:
             self._advance()
         if events & (READ | BROKEN) and not self.why:
@@ -76,15 +83,35 @@
     def _unfinished(self) -> bool:
         return bool(self.stuck) and (len(self.machine.inward) > 0 or (self.greets and not self.machine.whole))
 
+    def look(self) -> bool:
+        """Is the peer still there? What it has written by now is read first, so an owner that is about to act for it
+        knows. Never called from within what this link tells its owner."""
+        for _ in range(MOST_LOOK):
+            if self.why or self.advancing:
+                break
+            events, = self.hub.look(self.fd)
+            if events & (GONE | BROKEN):
+                self.end("closed")
+            elif events & READ and self.machine.inward.free:
+                self._read(False)
+                if self.why:    # its task is parked, and ends it
+                    self.hub.wake(self.fd)
+            else:
+                break
+        return not self.why
+
     def _advance(self) -> None:
-        whole = self.machine.whole
-        if why := self.machine.advance():
-            self.part(why)
+        whole, self.advancing = self.machine.whole, True
+        try:
+            if why := self.machine.advance():
+                self.part(why)
+        finally:
+            self.advancing = False
         if whole != self.machine.whole:
             self.since = self.hub.now
 
     def _mask(self) -> int:
-        return (READ if self.machine.inward.free else 0) | (WRITE if self.blocked else 0)
+        return (READ if self.machine.inward.free else 0) | (WRITE if self.blocked else 0) | (GONE if self.greets else 0)
 
     def _read(self, broken: bool) -> None:
         ring = self.machine.inward
@@ -113,15 +140,20 @@
 
     def send(self, *pieces: bytes) -> bool:
         """Put all pieces, to be written soon; False, with nothing put, where there is no room."""
+        if not self._put(pieces):
+            return False
+        if not (self.unsent or self.blocked):   # written with what else this turn puts: a write costs much
+            self.unsent = True
+            self.hub.unsent.append(self.flush)
+        return True
+
+    def _put(self, pieces: tuple[bytes, ...]) -> bool:
         ring, size = self.machine.outward, sum(map(len, pieces))
         if self.why or not ring.reserve(len(ring) + size):
             return False
         for piece in pieces:
             ring.put(piece)
         self.put += size
-        if not (self.unsent or self.blocked):   # written with what else this turn puts: a write costs much
-            self.unsent = True
-            self.hub.unsent.append(self.flush)
         return True
 
     def flush(self) -> None:
@@ -132,7 +164,7 @@
         try:
             while len(ring):
                 size = self.sock.send(ring.stretch())
-                self.sent += size
+                self.sent, self.wrote = self.sent + size, self.hub.now
                 ring.drop(size)
         except OSError as problem:
             if problem.errno not in RETRY:
@@ -142,6 +174,23 @@
         if not len(ring):
             self.owner.drained()
 
+    def send_now(self, *pieces: bytes) -> bool:
+        """Put all pieces and write them at once, behind what was put before; False where not one byte of them could
+        leave, and then none of them ever does."""
+        if len(self.machine.outward):
+            self.flush()
+        if self.blocked or not self._put(pieces):
+            return False
+        size = sum(map(len, pieces))
+        begin = self.put - size
+        self.flush()
+        if self.sent > begin:
+            return True
+        if not self.why:
+            self.machine.outward.cut(size)
+            self.put = begin
+        return False
+
     def end(self, why: str) -> None:
         """Close, for this reason."""
         self.why = self.why or why
@@ -154,10 +203,28 @@
             self.owner.parting(why)
         self.end(why)
 
+    def give_way(self, why: str) -> bool:
+        """Close of our own accord, unless something has come that was not read: then it stays."""
+        events, = self.hub.look(self.fd)
+        if self.why or events & READ and not events & GONE:
+            return False
+        self.parting, self.farewell = True, CROSSING
+        self.end(why)
+        try:    # Danger: until its task runs more could come, which a client writes only where it sees no end
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+        return True
+
+    def cut(self) -> None:
+        """No more time for the farewell."""
+        self.parting = False
+        self.hub.wake(self.fd)
+
     def _farewell(self) -> None:
         """Danger: a close with unread input is a reset, and takes what was said last with it. So the peer is
         shown the end, and what it still sends is dropped, for a while."""
-        ring, until, shut = self.machine.outward, self.hub.now + FAREWELL, False
+        ring, until, shut = self.machine.outward, self.hub.now + self.farewell, False
         while self.parting and self.hub.now < until:
             try:
                 while len(ring):
--- a/corkgauge/loop/ring.py
+++ b/corkgauge/loop/ring.py
@@ -81,6 +81,10 @@
                 self.allowance.give(len(self.store) - self.small)
                 self.store = bytearray(self.small)
 
+    def cut(self, size: int) -> None:
+        """Take back so many bytes that were put last."""
+        self.size -= size
+
     def take(self, size: int) -> bytes:
         data = self.peek(size)
         self.drop(len(data))
--- a/corkgauge/net/clients.py
+++ b/corkgauge/net/clients.py
@@ -63,9 +63,13 @@
         self.gave_up += 1
         sub, house = self.open.get(stream), self.house
         if sub is not None and house.now >= sub.taken + sub.life - LAST_MOMENT:
-            # Danger: it is its expiry that has come, a little before ours; an answer is still owed.
-            self.admit(0)
-            house.gateway.expiry_near(sub)
+            # Danger: it is its expiry that has come, a little before ours; an answer is still owed. What the gateway
+            # has not heard of it never hears of.
+            if sub in self.fresh:
+                sub.over = True
+                house.final(sub, REFUSED, [])
+            else:
+                house.gateway.expiry_near(sub)
         else:
             house.left(self.open.pop(stream, None), WITHDRAWN)
         # Danger: what is asked for by hundreds and taken back at once is work for nobody.
@@ -114,13 +118,31 @@
                     sub.taken, sub.life = now, max(sub.life - (now - sub.taken), 1)
                     self.house.gateway.submission_taken(sub)
 
+    def there(self) -> bool:
+        """Is the client there still, as of this moment? What it has taken back by now is over after this."""
+        if self.link.look():
+            return True
+        self.depart()
+        return False
+
+    def depart(self) -> None:
+        """The client has gone, with all that it waited for; found once, by whoever looks first."""
+        for sub in [*self.open.values()]:
+            self.house.left(sub, CLIENT_GONE)
+        self.open.clear()
+
     def idle(self) -> bool:
-        """Nothing is owed, nothing has come for a while, nothing lies unread."""
+        """Nothing is owed, nothing has come or left for a while, nothing lies unread."""
         link = self.link
-        if self.open or self.waiting or self.house.now < link.heard + SETTLED:
+        if self.open or self.waiting or self.house.now < max(link.heard, link.wrote) + SETTLED:
             return False
         return link.parting or not (link.why or len(link.machine.outward) or unread(link.sock))
 
+    def half_told(self) -> bool:
+        """Part of a frame has come, and the rest may be on its way."""
+        link = self.link
+        return not link.why and len(link.machine.inward) > 0 and self.house.now < link.heard + SETTLED
+
     def answer(self, stream: int, code: int, body: list[bytes], until: int = NEVER,
                order: Order | None = None) -> None:
         """`order` is the one whose end this is, until the last byte of it has left."""
@@ -182,9 +204,7 @@
         while self.waiting:
             self._gone(self.waiting[0][4])
             self._drop()
-        for sub in [*self.open.values()]:
-            self.house.left(sub, CLIENT_GONE)
-        self.open.clear()
+        self.depart()
 
 
 def unread(sock: Any) -> int:
--- a/corkgauge/net/engines.py
+++ b/corkgauge/net/engines.py
@@ -11,7 +11,7 @@
 
 from corkgauge.figures.terms import ENGINE
 from corkgauge.interface import ERROR, FULL, MOOT, READY, RESET, TIMED_OUT, UNREACHED, Engine, HandOff
-from corkgauge.loop.hub import SECOND
+from corkgauge.loop.hub import BROKEN, GONE, SECOND
 from corkgauge.loop.link import NEVER, Link, dial
 from corkgauge.net.clients import Order
 from corkgauge.net.engine_wire import EngineWire, command
@@ -23,6 +23,7 @@
 PAST = 500              # ids of hand-offs that a link has done with, remembered against copies
 NAME = re.compile(r"[0-9a-f]{16}").fullmatch
 ENDS = {"WAIT": FULL, "BROKE": ERROR, "PAST": MOOT}
+WANTING = {"EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"}     # of ours, not the engine's
 WORDS = {"DONE", "MORE", "TELL", "FIT", *ENDS}
 
 # How far an attempt had come when it failed. "Never ran" takes the first, or the engine's own word.
@@ -93,7 +94,8 @@
                     order.name in self.open or order.name in self.past)
 
     def take(self, errand: Errand) -> bool:
-        """Write a hand-off, unless there is no room."""
+        """Write a hand-off at once, unless there is no room. Danger: one that is put and not written begins when its
+        engine reads again, whoever has gone by then; so none is ever kept back here."""
         house, order, handoff = self.house, errand.order, errand.handoff
         sub, stated = handoff.submission, house.stated
         fields = [f"sort={sub.offering.name}", f"patience={max((errand.until - house.now) // 10, 1)}"]
@@ -103,10 +105,10 @@
             fields.append(f"reserve={int(order.memory)}")
         if stated.priorities:
             fields.append(f"level={order.priority}")
-        begin = self.link.put
-        if not self.link.send(command("fetch", order.name, ",".join(fields), order.statement)):
+        said = command("fetch", order.name, ",".join(fields), order.statement)
+        if not self.link.send_now(said):
             return False
-        errand.link, errand.begin, errand.end = self, begin, self.link.put
+        errand.link, errand.begin, errand.end = self, self.link.put - len(said), self.link.put
         self.open[order.name] = errand
         house.counters["handed off"] += 1
         errand.told = house.now
@@ -184,12 +186,7 @@
         if errands:
             self.house.log(f"link {station.engine.tag} ended: {why}; {len(errands)} out")
         for errand in errands:
-            if errand.stage() == NOT_BEGUN and station.engine.state == READY:
-                errand.link = None
-                station.waiting.append(errand)
-                self.house.hub.later(self.house.stated.dial_time, self.house.waited, errand)
-            else:
-                self.house.failed(errand, "broken")
+            self.house.failed(errand, "broken")
         self.house.close(station)
         station.fill()
 
@@ -204,19 +201,57 @@
         self.waiting: deque[Errand] = deque()
         self.dialling, self.spare_from = False, 0
         self.started = 0            # the engine, in ms, as the list told it
+        self.era = 0                # of its process and address; what a dial of an earlier one brings is for nothing
+        self.filling = self.due = False     # a fill is under way; one is due at the end of this turn
+        self.wanting = False        # the last dial failed for want of descriptors of our own
+
+    def line_up(self, errand: Errand) -> None:
+        """A hand-off waits for a link; it is written at the end of this turn, when the gateway has said all."""
+        self.waiting.append(errand)
+        if not self.due:
+            self.due = True
+            self.house.hub.unsent.append(self.fill)
 
     def fill(self) -> None:
-        """Write what waits to links that have room; dial where there are none."""
-        if self.engine.state != READY:
+        """Write what waits to links that have room; dial where there are none. Never called from within the gateway's
+        own calls, as the last look at a client may tell the gateway that it has gone."""
+        self.due = False
+        if self.engine.state != READY or self.filling:
             return
+        self.filling = True
+        try:
+            self._write()
+        finally:
+            self.filling = False
+        if self.engine.state == READY:
+            self._dial_more()
+
+    def _write(self) -> None:
         while self.waiting:
-            order = self.waiting[0].order
-            # Danger: what spoils one answer takes all with it that is open on its link. So they keep apart.
-            link = min((each for each in self.links if each.room_for(order)),
-                       key=lambda each: len(each.open), default=None)
-            if link is None or not link.take(self.waiting[0]):
-                break
-            self.waiting.popleft()
+            errand = self.waiting[0]
+            link = self._link_for(errand.order)
+            if link is None:
+                return
+            if why := self.house.barred(errand):
+                if self.waiting and self.waiting[0] is errand:
+                    self.waiting.popleft()
+                    self.house.failed(errand, why)
+            elif self.waiting and self.waiting[0] is errand and link.room_for(errand.order):
+                if not link.take(errand):
+                    return
+                self.waiting.popleft()
+
+    def _link_for(self, order: Order) -> EngineLink | None:
+        """The emptiest with room, whose engine has not closed it. Danger: what spoils one answer takes all with it that
+        is open on its link, so they keep apart; and what is written to a link whose end has come by now may have run
+        or not, nobody knows."""
+        able = sorted((each for each in self.links if each.room_for(order)), key=lambda each: len(each.open))
+        for link in able:
+            if not self.house.hub.look(link.link.fd)[0] & (GONE | BROKEN):
+                return link
+        return None
+
+    def _dial_more(self) -> None:
         most = self.house.links_each()
         # Danger: hundreds of gateways that dial each engine ahead, most of which they send nothing, cost the
         # engines more than they ask. So where a gateway's part of an engine is below one hand-off, the first
@@ -224,23 +259,41 @@
         spare = len(self.links) < min(most, SPREAD) and all(each.open for each in self.links) and (
             self.house.now >= self.spare_from) and (
             self.house.gateway.slots * self.engine.cores >= 1.0 or any(len(each.open) > 1 for each in self.links))
-        if (self.waiting or spare) and not self.dialling and len(self.links) < most:
+        if not (self.waiting or spare) or self.dialling or len(self.links) >= most:
+            return
+        if self.house.descriptor_left(bool(self.waiting)):
             self.dialling = True
+            self.house.dials += 1
             self.house.hub.spawn(self.dial, self.address)
+        elif self.waiting:
+            self._want()
+
+    def _want(self) -> None:
+        """Danger: descriptors that we lack are no fault of the engine's."""
+        self.wanting, self.spare_from = True, self.house.now + SECOND
+        self.house.counters["no descriptor"] += 1
+        self.house.hub.later(SECOND // 100, self.fill)
 
     def dial(self, where: tuple[str, int]) -> None:
+        era = self.era
         sock, why = dial(self.house.hub, where, self.house.stated.dial_time)
         self.dialling = False
+        self.house.dials -= 1
         self.house.counters["dialled"] += 1
+        if why in WANTING:
+            self.house.make_room()
+            return self._want()
+        self.wanting = False
         if sock is None:
             self.house.counters["unreached"] += 1
             self.spare_from = self.house.now + SECOND   # Danger: dials without end where none is taken
-            if where == self.address:
+            if era == self.era:
                 errands, self.waiting = self.waiting, deque()
                 for errand in errands:
                     self.house.failed(errand, "unreached")
-            return
-        if where != self.address or self.engine.state != READY:
+        # Danger: a dial that began before its engine moved, or was started anew, tells nothing of the one that
+        # waits now, whether it came up or not.
+        elif era != self.era or self.engine.state != READY:
             sock.close()
         else:
             link = EngineLink(self, sock)
@@ -252,7 +305,7 @@
     def told(self, where: tuple[str, int], renewed: bool) -> None:
         """The list names it: a link to what it was before is for nothing new."""
         if where != self.address or renewed:
-            self.address = where
+            self.address, self.era = where, self.era + 1
             self.retire()
 
     def retire(self) -> None:
@@ -267,6 +320,3 @@
         errands, self.waiting = self.waiting, deque()
         for errand in errands:
             self.house.failed(errand, "withdrawn")
-        for link in self.links:     # nor may what a socket that takes no more has kept back
-            if any(errand.stage() == NOT_BEGUN for errand in link.open.values()):
-                link.link.end("unsent at a drain")
--- a/corkgauge/net/feed.py
+++ b/corkgauge/net/feed.py
@@ -11,6 +11,7 @@
 
 LEAST_PAUSE, MOST_PAUSE = SECOND // 20, SECOND // 2     # between two dials of a feed that does not come up
 FEED_SILENT = 15_000    # a comment comes each second
+FEED_STUCK = 30_000     # that a line may take, with all that is before the first; told counts as heard 7 s later
 
 
 class Feed:
@@ -60,13 +61,16 @@
             self.house.log(f"feed back at {self.house.last_event}")
         return self.house.event(number, data)
 
-    def watch(self, link: Link) -> None:
+    def watch(self, link: Link, whole: int = -1, since: int = 0) -> None:
         """Danger: a feed that stops keeps its connection open. A comment comes each second; without any sign
-        for half a second more it is dead."""
+        for half a second more it is dead. One that drips, or never says how it answers, gives signs and no line."""
         if link is self.link and not link.why:
-            if self.house.now - link.heard > FEED_SILENT:
-                return link.end("silent")
-            self.house.hub.later(FEED_SILENT // 8, self.watch, link)
+            now = self.house.now
+            if link.machine.whole != whole:
+                whole, since = link.machine.whole, now
+            if now - link.heard > FEED_SILENT or now - since > FEED_STUCK:
+                return link.end("silent" if now - link.heard > FEED_SILENT else "a line that does not end")
+            self.house.hub.later(FEED_SILENT // 8, self.watch, link, whole, since)
 
     def drained(self) -> None:
         pass
--- a/corkgauge/net/feed_wire.py
+++ b/corkgauge/net/feed_wire.py
@@ -20,7 +20,7 @@
     """Reads the stream and calls its owner: `event(id, data)`, which says what is wrong."""
 
     def __init__(self, owner: Any, allowance: Allowance) -> None:
-        self.owner, self.whole = owner, 0
+        self.owner, self.whole = owner, 0       # whole lines of the stream so far
         self.inward, self.outward = Ring(LARGEST, allowance), Ring(4096, allowance)
         # What comes next: a line, which `heard` takes, or a stretch of events.
         self.state, self.heard, self.chunked = self._line, self._status, False
@@ -96,6 +96,7 @@
         return "a line that is too long" if len(self.text) > LARGEST else ""
 
     def _event_line(self, line: str) -> str:
+        self.whole += 1     # a comment counts as well
         if not line:
             number, data = self.number, self.data
             self.number, self.data = "", []
--- a/corkgauge/net/frames.py
+++ b/corkgauge/net/frames.py
@@ -13,7 +13,7 @@
 from corkgauge.figures.terms import CLIENT
 from corkgauge.interface import LABELLED, Submission
 from corkgauge.loop.hub import SECOND, Hub
-from corkgauge.loop.link import NEVER
+from corkgauge.loop.link import CROSSING, NEVER
 from corkgauge.net import client_wire
 from corkgauge.net.client_wire import REFUSED
 from corkgauge.net.clients import MOST_FAULTS, MOST_OPEN, Caller, Order, unread
@@ -39,6 +39,8 @@
     def __init__(self, hub: Hub, post: Post, log: Callable[[str], None], held: int = 0) -> None:
         super().__init__(hub, post, log, held)
         self.end = NEVER        # when the last answer goes, once the program is told to end
+        self.door: Any = None   # where clients come in, in a program that serves
+        self.last_call = NEVER  # when the clients were shown the end
         self.callers: dict[Caller, None] = {}
         self.most_callers = post.sockets // 2   # a third is the usual ones'
         self.keys: dict[int, tuple[int, int, bool]] = {}    # when one came, kept back how long, on a new link
@@ -46,13 +48,17 @@
 
     def make_room(self) -> bool:
         """Danger: connections that say nothing, or nothing more, would keep others at the door. Those that
-        never asked for anything give way first, then those that have been quiet longest."""
+        never asked for anything give way first, then those that have been quiet longest, and last those that have told
+        a half of something."""
         quiet = sorted((caller for caller in self.callers if caller.idle()),
-                       key=lambda each: (not each.link.parting, each.link.machine.whole > 0, each.link.heard))
+                       key=lambda each: (not each.link.parting, len(each.link.machine.inward) > 0,
+                                         each.link.machine.whole > 0, each.link.heard))
         for caller in quiet[:ROOM]:
-            self.counters["gave way"] += 1
-            caller.link.parting = False
-            caller.link.end("room for others")
+            if caller.link.parting:
+                if caller.link.farewell > CROSSING:     # else it ends by itself in a moment
+                    caller.link.cut()
+            elif caller.link.give_way("room for others"):
+                self.counters["gave way"] += 1
         return bool(quiet)
 
     def accepted(self, sock: Any) -> None:
@@ -81,13 +87,28 @@
 
     def gone(self) -> None:
         """End as soon as nothing is owed and all is written, or when it must be."""
-        # Danger: what has come and lies unread is taken all the same.
-        owed = any(each.open or each.waiting or len(each.link.machine.outward) or unread(each.link.sock)
-                   for each in self.callers if each.link.fd >= 0)
-        if owed and self.now < self.end + TO_WRITE // 4:
-            self.hub.later(100, self.gone)
-        else:
-            self.hub.stopped = True
+        must, step = self.now >= self.end + TO_WRITE // 4, 100
+        if self.last_call != NEVER:
+            if not self.callers or self.now >= self.last_call + CROSSING:
+                self.hub.stopped = True
+                return
+            step = 20
+        # Danger: what has come and lies unread is taken all the same, be it at the door.
+        elif must or not any(self.owed(each) for each in self.callers):
+            if self.door is None or not self.door.shut() or must:
+                # Danger: a process that ends over unread bytes resets its connections, and takes the last answers
+                # along. So each client is shown the end, and what had crossed it is read and dropped for a moment.
+                self.last_call = self.now
+                for each in [*self.callers]:
+                    if not (each.link.give_way("the program ends") or must or each.link.why):
+                        self.last_call = NEVER      # something came just now
+        self.hub.later(step, self.gone)
+
+    def owed(self, caller: Caller) -> bool:
+        """Is anything still due to this client, or on its way from it?"""
+        link = caller.link
+        return link.fd >= 0 and not link.parting and bool(
+            caller.open or caller.waiting or len(link.machine.outward) or unread(link.sock) or caller.half_told())
 
     def requested(self, caller: Caller, stream: int, fields: dict[str, str], body: bytes) -> str:
         # Danger: what it says is a stranger's; nothing of it may raise.
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -73,7 +73,8 @@
         # start may be held for others: the clients' rings, the engines', and so on. The rest is for records.
         room = max(post.memory - held, LEAST_ROOM) // 2
         self.rings, self.lines, self.results, self.statements = (Allowance(room // 4) for _ in range(4))
-        self.links_most = post.sockets // 3     # a third is the clients', a third stays free
+        # A half is the clients' at most, a third goes to engines, and the rest stays free for the feed and what is new.
+        self.links_most, self.dials = post.sockets // 3, 0      # dials under way
         self.names: dict[str, Submission] = {}  # of what is open
         self.stations: dict[str, Station] = {}
         self.errands: dict[HandOff, Errand] = {}
@@ -116,6 +117,22 @@
         """Danger: with fewer links than hand-offs fill, an engine that is well would count as unreached."""
         return max(2, self.links_most // max(len(self.stations), 1))
 
+    def descriptor_left(self, needed: bool) -> bool:
+        """May there be another link? Danger: two to each of many engines would take what the feed and the clients need.
+        Where one is needed, the link that has been idle longest gives way."""
+        links = [link for station in self.stations.values() for link in station.links]
+        if len(links) + self.dials < self.links_most:
+            return True
+        idle = [link for link in links if not (link.open or link.link.why)]
+        if needed and idle:
+            self.counters["links gave way"] += 1
+            min(idle, key=lambda each: each.link.wrote).link.end("room for others")
+        return False
+
+    def make_room(self) -> bool:
+        """Let go of what holds a descriptor for nothing; was there any?"""
+        return False
+
     # What the gateway may do.
 
     @property
@@ -137,9 +154,8 @@
         if self.waits is not None and not handoff.number:
             self.waits.handed_off(handoff.submission.offering.name, self.now - handoff.submission.taken)
         self.hub.later(allow, self.too_late, errand)
-        station.waiting.append(errand)
-        station.fill()
-        if errand.link is None and self.stated.dial_time < allow:
+        station.line_up(errand)
+        if self.stated.dial_time < allow:
             self.hub.later(self.stated.dial_time, self.waited, errand)
 
     def set_terms(self, submission: Submission, memory: float, priority: int) -> None:
@@ -172,8 +188,18 @@
     def wake(self, delay: int, method: Callable[..., None], *what: Any) -> None:
         self.hub.later(delay, method, *what)
 
-    # Clients.
+    def barred(self, errand: Errand) -> str:
+        """The one last look directly before an attempt's first byte: why it must not begin, if so. Danger: between its
+        decision and its writing there may be a dial, or a long turn; its client may have gone or taken it back, its
+        engine be told to drain or have started anew, its time or its window for repeats be over."""
+        self.hub.tick()
+        if not errand.handoff.submission.over:
+            errand.order.caller.there()
+        if errand.handoff not in self.errands or self.now >= errand.until:
+            return "late"
+        return "" if self.gateway.may_begin(errand.handoff) else "withdrawn"
 
+    # Clients.
 
     def final(self, submission: Submission, code: int, body: list[bytes], reason: int = -1) -> None:
         order = submission.tag
@@ -214,6 +240,11 @@
                 submission.over = True      # the gateway never hears of it
             else:
                 self.gateway.submission_left(submission)
+                for handoff in submission.handoffs:     # what waits for a link never begins
+                    errand = self.errands.get(handoff)
+                    if errand is not None and errand.link is None:
+                        errand.station.waiting.remove(errand)
+                        self.failed(errand, "withdrawn")
             self.ended.append(submission)
 
     # Figures.
@@ -357,7 +388,7 @@
         """No connection, or no room on one, in the time that settings give for it."""
         if errand.handoff in self.errands and errand.link is None:
             errand.station.waiting.remove(errand)
-            self.failed(errand, "unreached")
+            self.failed(errand, "withdrawn" if errand.station.wanting else "unreached")
 
     def too_late(self, errand: Errand) -> None:
         if errand.handoff not in self.errands:
--- a/corkgauge/recall/keeping.py
+++ b/corkgauge/recall/keeping.py
@@ -154,7 +154,7 @@
         self.effects.expire(self.hub.now)
         if self.house.recall is self:
             self._put(FLOOR, SERIALS.pack(self.effects.oldest(self.serial + 1), self.serial))
-        self.hub.later(1, self._name, self._moment(), self.house.gateway.remembered())
+        self.hub.later(1, self._name, self._moment(), learned.copied(self.house.gateway))
         self.hub.later(self.said.each, self.keep)
 
     def _moment(self) -> dict[str, Any]:
--- a/corkgauge/recall/learned.py
+++ b/corkgauge/recall/learned.py
@@ -14,9 +14,19 @@
 from corkgauge.recall import ageing
 
 
+def copied(gateway: Any) -> dict[str, Any]:
+    """What the module has learned, as copies; cheap, so that it is taken between two events."""
+    return {"price": gateway.price, "best": gateway.best, "extras": [*gateway.extras],
+            "honoured": [*gateway.honoured],
+            "engines": [(e, [*e.view.slowness], e.view.bound, e.view.rests_until, [*e.view.faults])
+                        for e in gateway.engines],
+            "offerings": [(each, [*each.samples]) for each in {q.offering: 0 for q in gateway.queues.values()}],
+            "queues": [(tenant, each, queue.share) for (tenant, each), queue in gateway.queues.items()]}
+
+
 def gathered(gateway: Any) -> dict[str, Any]:
     """Bare figures, by names, in one step."""
-    return named(gateway.remembered())
+    return named(copied(gateway))
 
 
 def named(said: dict[str, Any]) -> dict[str, Any]:
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,508 @@
+"""Moments at which two events cross, over real connections on loopback, the bad order forced every time."""
+
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+
+import pytest
+
+from corkgauge.interface import MOOT
+from corkgauge.loop.hub import Hub
+from corkgauge.loop.link import CROSSING
+from corkgauge.net import feed as feeds
+from corkgauge.net.door import Door
+from corkgauge.net.engines import EngineLink, Station
+from corkgauge.net.feed import Feed
+from tests.yard import SECOND, STATED_ON_SOCKETS, Premises, listing, name, request
+
+ROW, T1 = "a\t\t\n", name(1)
+REAL_DIAL = Station.dial
+TAKE_BACK = bytes.fromhex("050000000801000000")
+READY_ASKED = bytes.fromhex("05000000100a000000")
+
+
+def pair():
+    """Both ends of a real connection on loopback."""
+    with socket.socket() as door:
+        door.bind(("127.0.0.1", 0))
+        door.listen()
+        mine = socket.create_connection(door.getsockname())
+        its, _ = door.accept()
+    mine.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return mine, its
+
+
+def settled(sock, bytes_in_flight=0):
+    """Wait until the peer's machine has what was written or closed here; loopback needs no more than this."""
+    end = time.monotonic() + 1
+    while time.monotonic() < end:
+        if Hub().look(sock.fileno())[0]:
+            return
+    raise AssertionError("nothing came")
+
+
+class Loopback(Premises):
+    """Premises whose clients and engines are TCP connections; the clock is still handed in."""
+
+    def client(self):
+        mine, its = pair()
+        self.house.accepted(its)
+        self.turn()
+        mine.setblocking(False)
+        caller = [*self.house.callers][-1]
+        return mine, caller
+
+    def engine(self, tag="e1", turn=True):
+        mine, its = pair()
+        station = self.house.stations[tag]
+        link = EngineLink(station, its)
+        station.links.append(link)
+        self.hub.spawn(link.link.run)
+        link.watch()
+        if turn:
+            self.turn()
+            station.fill()
+            self.turn()
+        mine.setblocking(False)
+        return mine, link
+
+    def ask_and_settle(self, sock, data, caller):
+        sock.sendall(data)
+        settled(caller.link.sock)
+        self.turn()
+
+    def heard_soon(self, sock, least=1):
+        """What comes within a moment; at least so much where so much is due."""
+        found, end = b"", time.monotonic() + (1 if least else 0.02)
+        while time.monotonic() < end and (not least or len(found) < least):
+            self.turn(2)
+            try:
+                found += sock.recv(1 << 16)
+            except BlockingIOError:
+                time.sleep(0.001)
+        return found
+
+
+def closes(sock):
+    sock.close()
+
+
+def resets(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def takes_back(sock):
+    sock.sendall(TAKE_BACK)
+
+
+def says_much_and_goes(sock):
+    """What lies before the end is more than one turn reads."""
+    sock.setblocking(True)
+    sock.sendall(b"".join(request(n) for n in range(2, 30)) + request(40)[:60])
+    sock.close()
+
+
+GOINGS = [closes, resets, takes_back, says_much_and_goes]
+
+
+@pytest.mark.parametrize("goes", GOINGS)
+def test_no_attempt_begins_once_its_client_has_gone_while_it_waited_for_a_link(goes):
+    """The link comes up in the very turn after the client went, before its connection is read."""
+    premises = Loopback()
+    client, caller = premises.client()
+    premises.ask_and_settle(client, request(), caller)
+    assert len(premises.house.stations["e1"].waiting) == 1
+    goes(client)
+    settled(caller.link.sock)
+    engine, link = premises.engine(turn=False)
+    premises.house.stations["e1"].fill()     # as a dial that comes up does it, before the poller is asked again
+    assert link.link.put == 0 and not premises.house.errands
+    assert premises.heard_soon(engine, 0) == b"" and premises.house.counters["handed off"] == 0
+    assert not premises.logged
+
+
+@pytest.mark.parametrize("goes", GOINGS)
+def test_no_further_attempt_begins_once_its_client_has_gone_while_the_first_was_out(goes):
+    """The engine's refusal and the client's going lie unread in one turn; the refusal is read first."""
+    premises = Loopback([listing(1, {}, {"id": "e2"})])
+    client, caller = premises.client()
+    engines = {tag: premises.engine(tag) for tag in ("e1", "e2")}
+    premises.ask_and_settle(client, request(), caller)
+    first, = (tag for tag, (sock, _) in engines.items() if premises.heard_soon(sock, 0))
+    (sock, link), (other, other_link) = engines[first], engines["e2" if first == "e1" else "e1"]
+    sock.sendall(b"*4\r\n$16\r\n" + T1.encode() + b"\r\n$4\r\nWAIT\r\n$1\r\n-\r\n$0\r\n\r\n")
+    settled(link.link.sock)
+    goes(client)
+    settled(caller.link.sock)
+    assert link.link.look()     # the answer is told, as its task would have told it
+    for _ in range(3):
+        premises.hub._due()     # what the turn left to do, with the client's end still unread by its task
+    assert other_link.link.put == 0 and premises.heard_soon(other, 0) == b""
+    assert not premises.house.errands and not premises.logged
+
+
+@pytest.mark.parametrize("goes", GOINGS)
+def test_no_attempt_begins_in_a_turn_that_lags(goes):
+    """Request and end have both come before the loop reads either, 0.2 s late. (The gateway takes nothing while it is
+    so far behind, so this holds without the last look as well.)"""
+    premises = Loopback()
+    client, caller = premises.client()
+    engine, _ = premises.engine()
+    client.sendall(request())
+    goes(client)
+    settled(caller.link.sock)
+    time.sleep(0.01)
+    premises.time += 2_000
+    premises.turn()
+    premises.pass_time(2_000)
+    assert premises.heard_soon(engine, 0) == b"" and premises.house.counters["handed off"] == 0
+
+
+def test_an_attempt_that_an_engine_does_not_read_is_never_kept_back_in_a_ring():
+    """Danger: put into a full socket it would begin when the engine reads again, whoever had gone by then."""
+    premises = Loopback()
+    client, caller = premises.client()
+    engine, link = premises.engine()
+    engine.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    link.link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    try:
+        while True:     # the engine reads nothing, and its socket is full to the last byte
+            link.link.sock.send(b"*1\r\n$1\r\nx\r\n" * 400)
+    except BlockingIOError:
+        pass
+    try:
+        while True:
+            link.link.sock.send(b"x")
+    except BlockingIOError:
+        pass
+    premises.ask_and_settle(client, request(), caller)
+    (errand,) = premises.house.errands.values()
+    assert errand.link is None and len(link.link.machine.outward) == 0 and link.link.put == 0
+    client.close()
+    settled(caller.link.sock)
+    premises.turn()
+    assert not premises.house.errands
+    assert T1.encode() not in premises.heard_soon(engine, 0)
+
+
+def test_a_client_that_goes_while_its_input_is_paused_is_seen_to_go():
+    premises = Loopback()
+    client, caller = premises.client()
+    engine, _ = premises.engine()
+    premises.ask_and_settle(client, request(), caller)
+    premises.house.rings.most = premises.house.rings.held      # no memory: what comes now pauses the input
+    client.sendall((200_000).to_bytes(4, "little") + b"\2" + b"x" * 9_000)
+    settled(caller.link.sock)
+    premises.turn()
+    assert not caller.link.machine.inward.free and caller.open
+    client.close()
+    time.sleep(0.01)
+    premises.turn()
+    assert not caller.open and not premises.house.callers
+
+
+def test_an_engine_that_has_closed_its_link_gets_nothing_written_there():
+    """Danger: a request that an unsafe class sent there may have run or not, nobody knows."""
+    premises = Loopback([listing(1, {})])
+    client, caller = premises.client()
+    engine, link = premises.engine()
+    engine.close()
+    settled(link.link.sock)
+    client.sendall(request(route="once"))
+    settled(caller.link.sock)
+    caller.link.look()      # the request is read before the engine's end is
+    premises.hub._due()
+    assert link.link.put == 0
+    premises.turn()
+    second, _ = premises.engine()
+    assert T1.encode() in premises.heard_soon(second, 60)
+
+
+class Dials:
+    """Dials that come up, or fail, only when they are let; `ends` holds where each led, and what it was let do."""
+
+    def __init__(self, premises, monkeypatch):
+        self.asked, self.let, self.ends = [], [], []
+        Station.dial = REAL_DIAL
+        premises.house.dials = 0
+        for station in premises.house.stations.values():
+            station.dialling = False
+        monkeypatch.setattr("corkgauge.net.engines.dial", self.dial)
+
+    def dial(self, hub, where, span):
+        number = len(self.asked)
+        self.asked.append(where)
+        while len(self.let) <= number:
+            hub.sleep(10)
+        if self.let[number]:
+            return None, self.let[number]
+        mine, its = pair()
+        mine.setblocking(False)
+        self.ends.append(mine)
+        return its, ""
+
+
+def test_a_dial_for_an_old_address_does_not_leave_what_waits_for_the_new_one(monkeypatch):
+    """The old address refuses only after the engine has moved; nothing else would fill again."""
+    premises = Loopback()
+    dials, (client, caller) = Dials(premises, monkeypatch), premises.client()
+    premises.ask_and_settle(client, request(), caller)
+    assert dials.asked == [("127.0.0.9", 1)]
+    assert not premises.house.event("2", json.dumps(listing(2, {"addr": "127.0.0.9:2"}, full=False)))
+    dials.let += ["ECONNREFUSED", ""]
+    premises.pass_time(60, 10)
+    assert dials.asked == [("127.0.0.9", 1), ("127.0.0.9", 2)]
+    assert T1.encode() in premises.heard_soon(dials.ends[0], 60) and not premises.logged
+
+
+@pytest.mark.parametrize("up", [True, False])
+def test_a_dial_that_began_before_its_engine_started_anew_tells_nothing_of_the_new_one(up, monkeypatch):
+    premises = Loopback([listing(1, {"started_ms": 1})])
+    dials, (client, caller) = Dials(premises, monkeypatch), premises.client()
+    premises.ask_and_settle(client, request(), caller)
+    station, (errand,) = premises.house.stations["e1"], premises.house.errands.values()
+    assert len(dials.asked) == 1
+    assert not premises.house.event("2", json.dumps(listing(2, {"started_ms": 100_000}, full=False)))
+    dials.let.append("" if up else "ECONNREFUSED")
+    premises.pass_time(100, 20)
+    assert not station.links and not any("rest e1" in line for line in premises.logged)
+    if up:      # the connection that reached the process before is closed with nothing on it
+        assert premises.heard_soon(dials.ends[0], 0) == b""
+    assert errand.handoff.outcome in (MOOT, -1) and errand.link is None
+    dials.let.append("")
+    premises.pass_time(100, 20)
+    assert errand.handoff.outcome == MOOT   # what was decided on the one before is decided again
+
+
+def test_want_of_descriptors_is_no_fault_of_the_engines_and_ends_when_there_are_some(monkeypatch):
+    premises = Loopback()
+    dials, (client, caller) = Dials(premises, monkeypatch), premises.client()
+    dials.let += ["EMFILE"] * 5
+    premises.ask_and_settle(client, request(patience="5000"), caller)
+    premises.pass_time(1_000, 50)
+    assert len(dials.asked) == 6 and not any("rest e1" in line for line in premises.logged)
+    dials.let.append("")
+    premises.pass_time(100, 20)
+    assert b"fetch" in premises.heard_soon(dials.ends[0], 60)
+
+
+def test_links_to_many_engines_leave_descriptors_for_the_feed_and_the_clients():
+    """Danger: two to each of many engines are more than the share of the descriptors that is theirs."""
+    engines = [{"id": f"e{n}", "addr": f"127.0.0.9:{n + 1}"} for n in range(60)]
+    premises = Loopback([listing(1, *engines)], sockets=96)
+    premises.house.dials = 0
+    house, kept = premises.house, []
+    for n in range(40):
+        for station in house.stations.values():
+            station.dialling = True     # but for what is joined by hand here nobody dials
+        if not house.descriptor_left(True):
+            break
+        kept.append(premises.engine(f"e{n}"))
+    assert sum(len(station.links) for station in house.stations.values()) <= 96 // 3
+    premises.turn()     # the one that was idle longest has given way
+    assert house.counters["links gave way"] == 1 and house.descriptor_left(True)
+
+
+def test_bytes_that_come_before_an_idle_connection_is_closed_keep_it():
+    premises = Loopback()
+    (client, caller), (engine, _) = premises.client(), premises.engine()
+    premises.ask_and_settle(client, READY_ASKED, caller)
+    premises.heard_soon(client, 7)
+    premises.pass_time(700)
+    client.sendall(request())
+    settled(caller.link.sock)
+    assert not caller.link.give_way("room for others")
+    premises.turn()
+    assert T1.encode() in premises.heard_soon(engine, 60) and caller in premises.house.callers
+
+
+def test_a_close_over_what_crosses_it_takes_no_answer_along():
+    """A request comes after our end and before our close; a reset would take the unread answer along."""
+    premises = Loopback()
+    client, caller = premises.client()
+    premises.ask_and_settle(client, READY_ASKED, caller)
+    premises.pass_time(700)
+    assert caller.link.give_way("room for others")
+    client.sendall(request())       # it has not read our end
+    settled(caller.link.sock)
+    premises.pass_time(CROSSING + 200)
+    assert caller not in premises.house.callers and premises.house.counters["handed off"] == 0
+    client.setblocking(True)
+    client.settimeout(1)
+    assert client.recv(100)[4] == 32 and client.recv(100) == b""    # the answer, then the end
+    assert client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0       # and no reset behind it
+
+
+def ending(premises, sockets=()):
+    """A program that is told to end, with a door of its own; the clock is let run to its last look."""
+    door = premises.house.door = Door(premises.hub, premises.house, ("127.0.0.1", 0))
+    premises.hub.spawn(door.run)
+    premises.turn()
+    premises.house.leave()
+    premises.turn()
+    return door
+
+
+def test_what_waits_at_the_door_when_the_program_ends_is_let_in_and_answered():
+    premises = Loopback()
+    engine, _ = premises.engine()
+    door = ending(premises)
+    door.open = False       # the loop has had no turn to let them in
+    premises.hub.wake(door.sock.fileno())
+    premises.turn()
+    client = socket.create_connection(door.sock.getsockname())
+    client.sendall(request(patience="4000"))
+    door.open = True
+    premises.pass_time(9_100, 100)
+    assert T1.encode() in premises.heard_soon(engine, 60) and not premises.hub.stopped
+    premises.engine_says(engine, T1, "DONE", "chunks=1", ROW)
+    client.settimeout(1)
+    found = b""
+    while len(found) < 16:
+        premises.turn()
+        found += client.recv(100)
+    assert ROW.encode() in found
+    premises.pass_time(2_000)
+    assert premises.hub.stopped and client.recv(100) == b""
+
+
+def test_half_a_frame_that_is_on_its_way_when_the_program_ends_is_waited_for():
+    premises = Loopback()
+    (client, caller), (engine, _) = premises.client(), premises.engine()
+    ending(premises)
+    premises.pass_time(8_900, 100)
+    data = request()
+    premises.ask_and_settle(client, data[:20], caller)
+    premises.pass_time(300, 100)    # the last look comes between the two halves
+    assert not premises.hub.stopped
+    client.sendall(data[20:])
+    assert T1.encode() in premises.heard_soon(engine, 60)
+
+
+def test_clients_that_rest_until_the_end_are_shown_it_and_what_crosses_it_is_not_sent_on():
+    premises = Loopback()
+    (client, caller), (engine, _) = premises.client(), premises.engine()
+    premises.ask_and_settle(client, READY_ASKED, caller)
+    ending(premises)
+    premises.pass_time(9_200, 100)
+    assert premises.house.last_call < 2 ** 60 and not premises.hub.stopped
+    client.sendall(request())       # crosses the end
+    settled(caller.link.sock)
+    premises.pass_time(1_000, 50)
+    assert premises.hub.stopped and premises.house.counters["handed off"] == 0
+    assert premises.heard_soon(engine, 0) == b""
+    client.settimeout(1)
+    client.setblocking(True)
+    said = client.recv(100)
+    assert said[4] == 32 and said[-5:] == bytes.fromhex("4000000000") and client.recv(100) == b""
+    assert client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+
+
+def test_told_to_end_twice_it_leaves_once():
+    premises = Loopback()
+    client, caller = premises.client()
+    ending(premises)
+    end = premises.house.end
+    premises.pass_time(500)
+    premises.house.leave()
+    assert premises.house.end == end
+    assert premises.heard_soon(client, 0).count(bytes.fromhex("050000004000000000")) == 1
+
+
+class Quiet:
+    """A feed that takes the connection, and what it then does or leaves."""
+
+    def __init__(self, premises, monkeypatch):
+        self.premises, self.ends = premises, []
+        monkeypatch.setattr(feeds, "dial", self.dial)
+        self.feed = Feed(premises.house, ("127.0.0.1", 1))
+        premises.hub.spawn(self.feed.run)
+        premises.turn()
+
+    def dial(self, hub, where, span):
+        mine, its = pair()
+        mine.setblocking(False)
+        self.ends.append(mine)
+        return its, ""
+
+
+@pytest.mark.parametrize("first, drip", [
+    (b"", b""), (b"HTTP/1.1 200 OK\r\n", b""), (b"", b"x"), (b"HTTP/1.1 200 OK\r\n\r\n", b""),
+    (b"HTTP/1.1 200 OK\r\n\r\n: hi\n\nid: 2\ndata: {", b"x"), (b"HTTP/1.1 200 OK\r\n", b"x"),
+    (b"HTTP/1.1 200 OK\r\n\r\n: hi\n\nid: 2", b""),
+])
+def test_a_feed_that_goes_quiet_in_any_way_is_left_before_what_it_keeps_counts_as_told(first, drip, monkeypatch):
+    premises = Loopback()
+    quiet = Quiet(premises, monkeypatch)
+    quiet.ends[0].sendall(first)
+    for _ in range(50):     # 5 s
+        if drip and len(quiet.ends) == 1:
+            quiet.ends[0].sendall(drip)
+            time.sleep(0.0005)
+        premises.pass_time(1_000, 250)
+    assert len(quiet.ends) >= 2
+    asked = premises.heard_soon(quiet.ends[1])
+    assert b"Last-Event-ID: 1\r\n" in asked
+
+
+def test_a_feed_that_comments_each_second_is_kept(monkeypatch):
+    premises = Loopback()
+    quiet = Quiet(premises, monkeypatch)
+    quiet.ends[0].sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+    for _ in range(12):
+        quiet.ends[0].sendall(b": hi\n\n")
+        time.sleep(0.001)
+        premises.pass_time(SECOND, 500)
+    assert len(quiet.ends) == 1
+
+
+@pytest.mark.parametrize("when", ["loading", "reading"])
+def test_a_signal_to_read_again_that_comes_while_the_program_starts_does_not_end_it(when, tmp_path):
+    said = {"name": "n", "listen": "127.0.0.1:1", "feed": "127.0.0.1:2", "settings": STATED_ON_SOCKETS}
+    port = free_port()
+    (tmp_path / "c.json").write_text(json.dumps(said))
+    code = f"""
+import os, signal, sys
+def strike(*_):
+    os.kill(os.getpid(), signal.SIGHUP)
+import corkgauge.commands.serve as serve
+if {when!r} == "loading":
+    import builtins
+    real = builtins.__import__
+    def slow(name, *rest):
+        if name == "corkgauge.loop.hub" or name == "corkgauge.daemon":
+            strike()
+        return real(name, *rest)
+    builtins.__import__ = slow
+else:
+    from corkgauge import configuration
+    real_read = configuration.read
+    def read(environment):
+        strike()
+        return real_read(environment)
+    configuration.read = read
+from corkgauge.commands import main
+sys.argv = ["corkgauge", "serve"]
+sys.exit(main())
+"""
+    started = subprocess.Popen([sys.executable, "-c", code], stderr=subprocess.PIPE, text=True,
+                               env={**os.environ, "EDGE_CONFIG": str(tmp_path / "c.json"),
+                                    "EDGE_LISTEN": f"127.0.0.1:{port}"})
+    try:
+        assert "serving as n" in next(line for line in started.stderr if "serving" in line or "Trace" in line)
+    finally:
+        started.send_signal(signal.SIGTERM)
+        assert started.wait(10) == 0
+        started.stderr.close()
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -250,6 +250,8 @@
     assert house.make_room()
     premises.turn()
     assert len(premises.answers(once)) == 1 and once.recv(9) == silent.recv(9) == b""
+    premises.pass_time(600)     # what crossed the end is read and dropped: a close over it would be a reset
+    unread.sendall(b"x")
     assert len(house.callers) == 2 and not house.make_room()
     premises.engine_says(engine, name(1), "DONE", "chunks=1", "a\t\t\n")
     assert premises.answers(owed)[0][2] == b"\1"
