--- a/corkgauge/commands/serve.py
+++ b/corkgauge/commands/serve.py
@@ -1,6 +1,7 @@
 """`corkgauge serve`."""
 
 import os
+import signal
 
 import click
 
@@ -20,9 +21,11 @@
     EDGE_CONFIG=config.json corkgauge serve --operator deploy/operator.xml
     Ends with 0 after SIGTERM, with 2 where it cannot start.
     """
+    # Danger: a change of the configuration that is told while the program loads would end it. It is read after that.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from corkgauge import daemon
+    woken = daemon.heed()
     try:
-        post = configuration.read(os.environ)
-        from corkgauge import daemon
-        raise SystemExit(daemon.serve(post, operator_file, log_form))
+        raise SystemExit(daemon.serve(configuration.read(os.environ), woken, operator_file, log_form))
     except configuration.Faulty as problem:
         raise Faulted(str(problem)) from None
