Turns at cold engines pass on slowly and hold for one submission of any weight

Modelled with 3 to 200 gateways before one engine that starts (tests/test_cold_sum.py, a sum in one process): all turns passed on at one moment, so two sets of gateways could send within one window: light work, 200 gateways, 134 mean requests against N + 2 root N + 2 = 108.9. And each weight of work had its own turns, so three kinds could spend the budget once each: 46.6 against 36.5. Ruled out: restarts (a gateway sends nothing there for a span), what is saved up (nothing is). Now a turn drifts by a quarter of itself a span, gateways are spread by the golden ratio, and where a gateway's part is below the mean work that it is asked for one submission of any weight goes in a turn: 69 and 22. Assumption that fell: that what is asked for is of one weight.

--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -39,6 +39,7 @@
 SILENT, OVERDUE = 3.0, 3.0  # usual lifetimes: of all out together without a sign; of one passed by FEW
 REST, ALIKE = SECOND, 10 * SECOND   # of an engine that did badly, doubled each time; that faults compare
 COLD_SAFETY, HEDGE = 0.9, 0.5   # of its part of the cold budget that a gateway uses; of that for further ones
+GOLDEN, TURNING = 0.618034, 0.25    # spreads gateways evenly; part of a turn that passes on in a span
 OWN_EXTRA = 10, 0.5, 5 * SECOND  # budget for further hand-offs where none is stated
 
 
@@ -56,7 +57,7 @@
         # A core's worth of work that this gateway may send in a span to an engine that has just started.
         self.cold_part = COLD_SAFETY * 0.85 * fall_multiple * cold_share * fall_span / gateways
         self.cold_share, self.cold_span, self.fall_span = cold_share, cold_span, fall_span
-        self.number, self.gateways, self.stride = number, gateways, max(1, int(gateways * 0.618))
+        self.number, self.gateways, self.mean_work = number, gateways, 0.0  # of what is asked for
         self.extra = (extra_floor, extra_share, extra_span) if extra_span else OWN_EXTRA
         self.strict = 1.0       # part of that budget, where the fleet's further hand-offs are a storm
         self.engines: list[Engine] = []
@@ -223,6 +224,10 @@
         # Danger: a price that holds all back meets no answer that could lower it. Hundreds of late answers at
         # once would raise it out of reach for minutes; so it also stays where the usual best draw still goes.
         self.price *= 1 - 2 * STEP
+        for queue in self.queues.values():
+            queue.asked += len(queue.badness) - queue.asked / LAST
+        asked = [(queue.asked, queue.asked * queue.offering.usual) for queue in self.queues.values()]
+        self.mean_work = sum(work for _, work in asked) / (sum(count for count, _ in asked) or 1.0)
         moving = [queue for queue in self.queues.values() if queue.badness]
         for queue in moving:
             late, queue.badness = sorted(queue.badness), []
@@ -361,13 +366,17 @@
 
     def _cold_room(self, engine: Engine, work: float) -> bool:
         """May this gateway send so much work to a cold engine now?"""
-        since = self.host.now - self.fall_span
-        left = self.cold_part * engine.cores - sum(w for when, w in engine.view.spent if when > since)
-        # Danger: with hundreds of gateways a part is below one submission; those in turn by number send one.
-        span = (self.host.now - engine.started) // self.fall_span
-        turn = ((self.number + span * self.stride) % self.gateways + 0.5) / self.gateways
+        since, part = self.host.now - self.fall_span, self.cold_part * engine.cores
+        spent = sum(w for when, w in engine.view.spent if when > since)
+        # Danger: with hundreds of gateways a part is below one submission; those in turn by number send one,
+        # of whatever weight: turns for each weight would add up to the budget once for each.
+        usual = self.mean_work or work
+        work, thin = (usual, True) if part < usual else (work, False)
+        # Danger: if all turns passed on at one moment, two sets of gateways would send within one span.
+        moved = TURNING * min(part / usual, 1) * (self.host.now - engine.started) / self.fall_span
+        turn = (self.number * GOLDEN + crc32(engine.mark) / 2 ** 32 + moved) % 1
         # Danger: a gateway that restarts does not know what it sent before.
-        return since >= self.born and work * turn <= left
+        return since >= self.born and work * turn <= part - spent and not (thin and spent > 0)
 
     def _heard(self, engine: Engine) -> None:
         """A sign of an engine's own."""
--- a/corkgauge/interface.py
+++ b/corkgauge/interface.py
@@ -86,6 +86,7 @@
     offering: Offering
     model: Any                  # the last few intervals: share, p
     share: float = 0.0
+    asked: float = 0.0          # ends of the last periods, the older the less
     badness: list[float] = field(default_factory=list)   # latency over promised time, this interval
     waiting: list["Submission"] = field(default_factory=list)
 
--- a/corkgauge/shared/exchange.py
+++ b/corkgauge/shared/exchange.py
@@ -182,7 +182,8 @@
         if not said.doubted:
             return 0
         gateway = self.house.gateway
-        turn = (gateway.number + self.rounds * gateway.stride) % max(gateway.gateways, 1)
+        gateways = max(gateway.gateways, 1)
+        turn = (gateway.number + self.rounds * max(1, int(gateways * 0.618))) % gateways
         return 1 if gateways <= TRIALS or turn * TRIALS < TRIALS * TRIALS * gateway.gateways // gateways else 2
 
     # Turns at cold engines.
--- /dev/null
+++ b/tests/test_cold_sum.py
@@ -0,0 +1,115 @@
+"""What a whole fleet sends to one engine that has just started, in any window: N + 2 x root of N + 2 at most."""
+
+import random
+from math import sqrt
+
+import pytest
+
+from corkgauge.interface import HONOURED, READY
+from tests.yard import QUICK, SECOND, Yard
+
+CORES, SHARE, MULTIPLE, SPAN, WARM = 12.0, 0.4, 3.0, 15_000, 12 * SECOND
+# What is asked for: how often, and its work.
+ALIKE, LIGHT, MIXED = [(1.0, 9_500)], [(1.0, 2_450)], [(0.81, 2_450), (0.14, 40_000), (0.05, 24_000)]
+
+
+class Fleet:
+    """Gateways that know nothing of each other, all before one engine; each has seen some of every offering."""
+
+    def __init__(self, gateways, mix, seed):
+        self.chance, self.mix, self.sent, self.gateways = random.Random(seed), mix, [], gateways
+        self.mean = sum(part * work for part, work in mix)
+        self.allowed = MULTIPLE * SHARE * SPAN * CORES / self.mean      # N
+        self.yards = [self.gateway(number) for number in range(gateways)]
+        self.start = max(yard.now for yard in self.yards)
+        for yard in self.yards:
+            yard.pass_time(self.start - yard.now)
+            yard.tell(yard.engines[0], started=self.start)
+
+    def gateway(self, number):
+        offerings = [dict(QUICK, name=f"o{n}", expiry=25 * SECOND) for n in range(len(self.mix))]
+        yard = Yard(offerings, engines=1, gateways=self.gateways, number=number, cold_share=SHARE,
+                    fall_multiple=MULTIPLE, fall_span=SPAN, cold_span=WARM)
+        yard.engines[0].cores = CORES
+        for n, (part, work) in enumerate(self.mix):
+            for _ in range(4):
+                sub = yard.take(n, estimate=work)
+                if sub.handoffs:
+                    yard.over(sub.handoffs[0], took=work, work=work)
+        yard.pass_time(3 * SECOND)
+        return yard
+
+    def ask(self, number, when):
+        yard = self.yards[number]
+        yard.pass_time(max(when - yard.now, 0))
+        n, = self.chance.choices(range(len(self.mix)), [part for part, _ in self.mix])
+        sub = yard.take(n, estimate=self.mix[n][1])
+        if sub.handoffs:
+            self.sent.append((when, self.mix[n][1]))
+            yard.over(sub.handoffs[0], HONOURED, took=self.mix[n][1], work=self.mix[n][1])
+        elif not sub.over:
+            yard.gateway.expiry_near(sub)
+
+    def restart(self, number):
+        """It comes back from nothing but the list, which tells the engine's start."""
+        yard = self.yards[number]
+        now, self.yards[number] = yard.now, self.gateway(number)
+        fresh = self.yards[number]
+        fresh.pass_time(max(now - fresh.now, 0))
+        fresh.gateway.born = fresh.now
+        fresh.gateway.engine_told(fresh.engines[0], READY, self.start)
+        fresh.gateway.list_told()
+
+    def worst(self):
+        """In mean requests, of any window of the span in which an engine may fall."""
+        return max((sum(work for when, work in self.sent if begin <= when < begin + SPAN)
+                    for begin, _ in self.sent), default=0) / self.mean
+
+
+@pytest.mark.parametrize("gateways", [3, 20, 30, 200])
+@pytest.mark.parametrize("mix", [ALIKE, LIGHT, MIXED], ids=["alike", "light", "mixed"])
+def test_whatever_comes_together_the_fleet_keeps_to_the_cold_budget(gateways, mix):
+    """All ask at once, just before and just after each moment at which turns used to pass on together."""
+    fleet = Fleet(gateways, mix, seed=gateways)
+    for k in range(1, 7):
+        for moment in (-200, 200):
+            for _ in range(4):
+                for number in fleet.chance.sample(range(gateways), gateways):
+                    fleet.ask(number, fleet.start + k * SPAN + moment)
+    assert 0.1 * fleet.allowed < fleet.worst() <= fleet.allowed + 2 * sqrt(fleet.allowed) + 2
+
+
+@pytest.mark.parametrize("gateways", [20, 30])
+def test_with_uneven_traffic_and_restarts_the_fleet_keeps_to_the_cold_budget(gateways):
+    fleet = Fleet(gateways, MIXED, seed=7)
+    weights = [fleet.chance.choice([0.3, 1, 1, 2, 5]) for _ in range(gateways)]
+    now, asks = fleet.start, int(8 * fleet.allowed * 11 * SECOND / SPAN)
+    for n in range(asks):
+        now += fleet.chance.expovariate(1) * 11 * SECOND / asks
+        number, = fleet.chance.choices(range(gateways), weights)
+        if n % 40 == 0:
+            fleet.restart(fleet.chance.randrange(gateways))
+        if now < fleet.start + WARM:
+            fleet.ask(number, int(now))
+    assert 0.1 * fleet.allowed < fleet.worst() <= fleet.allowed + 2 * sqrt(fleet.allowed) + 2
+
+
+def test_a_fleet_that_is_restarted_twice_within_a_span_does_not_spend_its_budget_again():
+    fleet = Fleet(30, ALIKE, seed=5)
+    when = fleet.start + SPAN
+    for again in range(3):
+        for number in range(30):
+            if again:
+                fleet.restart(number)
+                fleet.yards[number].gateway.born = when + again * 3_000
+            fleet.ask(number, when + again * 3_000 + 100)
+    assert 0.1 * fleet.allowed < fleet.worst() <= fleet.allowed + 2 * sqrt(fleet.allowed) + 2
+
+
+def test_turns_that_were_not_used_are_not_saved_up():
+    quiet, busy = Fleet(30, ALIKE, seed=3), Fleet(30, ALIKE, seed=3)
+    for number in range(30):
+        for _ in range(3):
+            busy.ask(number, busy.start + SPAN + 10)
+            quiet.ask(number, quiet.start + 6 * SPAN + 10)      # nothing was sent before
+    assert len(quiet.sent) <= 1.3 * len(busy.sent) + 2
