--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -156,3 +156,43 @@
     for sub in subs:
         yard.over(sub.handoffs[0], TIMED_OUT)
     assert sum(len(s.handoffs) - 1 for s in subs) == most
+
+
+def test_the_window_for_repeats_may_be_over_by_the_time_that_a_link_comes_up():
+    yard = Yard([{**QUICK, "repeat": LABELLED, "remembered": 2 * SECOND}])
+    sub = yard.take()
+    yard.over(sub.handoffs[0], RESET)
+    again = sub.handoffs[1]
+    assert yard.gateway.may_begin(again)
+    yard.now += 2 * SECOND
+    assert not yard.gateway.may_begin(again)
+
+
+@pytest.mark.parametrize("change", ["drain", "anew", "aside", "over"])
+def test_what_an_attempt_rests_on_may_have_changed_by_the_time_that_a_link_comes_up(change):
+    yard = Yard(engines=1)
+    sub = yard.take()
+    assert yard.gateway.may_begin(sub.handoffs[0])
+    engine = yard.engines[0]
+    if change == "drain":
+        yard.tell(engine, state=DRAINING)
+    elif change == "anew":
+        yard.tell(engine, started=yard.now)
+    elif change == "aside":
+        yard.gateway.engine_aside(engine, 1)
+    else:
+        yard.gateway.submission_left(sub)
+    assert not yard.gateway.may_begin(sub.handoffs[0])
+
+
+def test_a_further_attempt_counts_in_the_budget_from_when_it_begins():
+    yard = Yard(extra_floor=2.0, extra_span=5 * SECOND)
+    subs = [yard.take(), yard.take()]
+    for sub in subs:
+        yard.over(sub.handoffs[0], RESET)
+    begun = yard.now
+    yard.now += 1_000
+    assert yard.gateway.may_begin(subs[0].handoffs[1])
+    assert yard.gateway.extras == [begun, begun + 1_000]
+    yard.gateway.strict = 0.5       # a storm: the budget is one by now, and that is used
+    assert not yard.gateway.may_begin(subs[1].handoffs[1])
