--- a/tests/test_shared_fleet.py
+++ b/tests/test_shared_fleet.py
@@ -1,6 +1,6 @@
 """Several processes that share what they find, faults between them and among them liars; judged by books outside."""
 
-from concurrent.futures import ProcessPoolExecutor
+from concurrent.futures import ProcessPoolExecutor, wait
 
 import pytest
 
@@ -161,8 +161,11 @@
 
 @pytest.fixture(scope="module")
 def scenes():
+    """Side by side, but for the calm one: on a machine that is full no fleet is calm, and its figure is of the load."""
     with ProcessPoolExecutor(6) as pool:
-        yield {name: pool.submit(staged, *what) for name, what in SCENES.items()}
+        others = {name: pool.submit(staged, *what) for name, what in SCENES.items() if name != "quiet"}
+        wait(others.values())
+        yield {**others, "quiet": pool.submit(staged, *SCENES["quiet"])}
 
 
 def test_what_some_find_nearly_all_know_within_seconds_and_what_is_well_again_is_used(scenes):
