--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -749,3 +749,14 @@
     assert not premises.house.unadmitted
     premises.pass_time(SECOND // 10)
     assert premises.heard(engine).count(b"fetch") == 0
+
+
+def test_a_withdrawal_at_expiry_of_what_the_gateway_never_heard_of_is_answered_and_it_never_does(monkeypatch):
+    premises = Premises()
+    engine, client = premises.engine(), premises.client()
+    monkeypatch.setattr(clients, "unread", lambda sock: 1)      # more lies there, all the time
+    premises.ask(client, request(1, patience="40"))
+    premises.ask(client, bytes.fromhex("050000000801000000"))
+    assert [answer[1:3] for answer in premises.answers(client)] == [(1, b"\2")]
+    premises.pass_time(SECOND)
+    assert not premises.house.gateway.queues and premises.heard(engine) == b""
