--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,6 +18,7 @@
 from corkgauge.net.door import Door
 from corkgauge.net.engines import EngineLink, Station
 from corkgauge.net.feed import Feed
+from corkgauge.standins.program import free_port
 from tests.yard import SECOND, STATED_ON_SOCKETS, Premises, listing, name, request
 
 ROW, T1 = "a\t\t\n", name(1)
@@ -37,7 +38,7 @@
     return mine, its
 
 
-def settled(sock, bytes_in_flight=0):
+def settled(sock):
     """Wait until the peer's machine has what was written or closed here; loopback needs no more than this."""
     end = time.monotonic() + 1
     while time.monotonic() < end:
@@ -339,7 +340,7 @@
     assert client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0       # and no reset behind it
 
 
-def ending(premises, sockets=()):
+def ending(premises):
     """A program that is told to end, with a door of its own; the clock is let run to its last look."""
     door = premises.house.door = Door(premises.hub, premises.house, ("127.0.0.1", 0))
     premises.hub.spawn(door.run)
@@ -500,9 +501,3 @@
         started.send_signal(signal.SIGTERM)
         assert started.wait(10) == 0
         started.stderr.close()
-
-
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
--- a/tests/test_sequences.py
+++ b/tests/test_sequences.py
@@ -45,7 +45,7 @@
 
     def __init__(self):
         super().__init__()
-        self.premises = Premises([listing(1, {}, {"id": "e2"})], tellsEvery=0)
+        self.premises = Premises([listing(1, {}, {"id": "e2"})])
         Station.dial = REAL_DIAL
         self.kept, engines.dial = engines.dial, self.dial
         self.premises.house.dials = 0
