A bounded working set of engines for each gateway, the whole list up to 128

Ruled out: the sums alone (the walk goes on as far as a group has homes), the feedback period, the timers.

Change: engines are kept by hall and kind, sorted by a rank that each gateway works out from its own number and the engine's mark (a knock-out over blocks of gateways in a row). The working set is a prefix of each. Its size follows from the engines told, the gateways told, the offerings' halls and kinds; it widens in bounded steps, at a moment of the gateway's own, while engines of it do badly or this gateway has several times its part of the work. What may have run under a label is tried again also beyond the set. Up to 128 engines the set is the whole list.

--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -19,28 +19,27 @@
 
 SECOND, MOMENT = 10_000, 200    # a figure of many samples stands for a moment
 PERIOD = 2 * SECOND     # of the feedback
-SIGMA = 0.05            # most that a share moves in a period
 INTERVALS = 5           # that the linear model sees
-FLOOR = 0.1             # least share, of an equal share
+SIGMA, FLOOR = 0.05, 0.1    # most that a share moves in a period; least share, of an equal share
 THREADS_PER_CORE = 0.9  # of all gateways together, where the bound starts
 LIGHT = 2.0             # bound for offerings lighter than the others' mean, over that of the heavy
 CROWDED = 1.5           # threads a core that one gateway never passes
 TIERS = 0.25, 1.0, 2.0  # of the usual work, beyond which a draw's priority is one lower each
 STEP, LEAST_TOLD = 0.1, 0.4     # of the bound; of a step of the price, for answers to light work
 LEAST_BOUND = 0.25      # how far refusals push the bound below its start
-UNSEEN = 1.5            # latency over the time of the work alone, before any answer tells
-PRESSED = 2.0           # latency this many times its best means pressure
+UNSEEN, PRESSED = 1.5, 2.0  # latency over the work's time, before any answer; over its best: pressure
 WAIT_PART = 0.06        # of a submission's life that it waits in its queue at most
 HOME = 0.25             # threads a core by which the next in order must be emptier, as its tables are cold
-NEAR = 3                # engines of the hashed order that are looked at first
-EVEN = 1.25             # of an engine's part of the gateway's last work, before the order goes further
-LAST, LAST_ANSWERS = 8, 48      # samples kept for an engine; for an offering
-FEW = 3                 # samples that a figure of them needs
+NEAR, EVEN = 3, 1.25    # engines of the order looked at first; of a part of the last work, before others are
+LAST, LAST_ANSWERS, FEW = 8, 48, 3  # samples kept for an engine; for an offering; that a figure needs
 SILENT, OVERDUE = 3.0, 3.0  # usual lifetimes: of all out together without a sign; of one passed by FEW
 REST, ALIKE = SECOND, 10 * SECOND   # of an engine that did badly, doubled each time; that faults compare
 COLD_SAFETY, HEDGE = 0.9, 0.5   # of its part of the cold budget that a gateway uses; of that for further ones
 GOLDEN, TURNING = 0.618034, 0.25    # spreads gateways evenly; part of a turn that passes on in a span
 OWN_EXTRA = 10, 0.5, 5 * SECOND  # budget for further hand-offs where none is stated
+WHOLE = 128             # engines in a list that is asked whole; of longer ones a gateway has a working set
+BASE, COVER, AT_HAND = 48, 16, 8    # engines of it; sets that each is in; engines of it for any offering
+WIDER, WIDEST, BUSIEST = 0.2, 2.0, 4.0  # a set's growth in a period, and in all, for failures; for traffic
 
 
 class Gateway:
@@ -60,10 +59,13 @@
         self.number, self.gateways, self.mean_work = number, gateways, 0.0  # of what is asked for
         self.extra = (extra_floor, extra_share, extra_span) if extra_span else OWN_EXTRA
         self.strict = 1.0       # part of that budget, where the fleet's further hand-offs are a storm
-        self.engines: list[Engine] = []
+        self.offerings, self.wider, self.busy = offerings, 1.0, 1.0     # how much wider the working set is
+        self.engines: list[Engine] = []     # the working set: all, or the first by rank of each place
+        self.places: dict[tuple[int, int], list[Engine]] = {}   # all ready ones, by hall and kind, by rank
+        self.placed: dict[Engine, tuple[int, int]] = {}
         self.last: deque[tuple[View, float, float]] = deque()   # hand-offs: where, usual work, table group
         self.groups: dict[float, float] = {}    # usual work among them, by table group
-        self.orders: dict[float, list[Engine]] = {}
+        self.orders: dict[object, list[Engine]] = {}
         self.queues: dict[tuple[int, Offering], Queue] = {}
         self.lost: dict[int, dict[Engine, int]] = {}    # by hall: engines lost since any there gave a sign
         self.lines: dict[int, deque[Submission]] = {}       # by key, in the order taken
@@ -84,13 +86,15 @@
             engine.view, engine.threads = View(
                 engine.view.spent if engine.view else deque(), *(deque(maxlen=LAST) for _ in "sft")), 0
         engine.state, engine.started = state, started
-        if engine not in self.engines:
-            self.engines.append(engine)
+        if before := self.placed.pop(engine, None):
+            self.places[before].remove(engine)
+        if state == READY:
+            place = self.placed[engine] = engine.hall, engine.kind
+            engine.rank = self._rank(engine.mark)
+            insort(self.places.setdefault(place, []), engine, key=lambda each: each.rank)
 
     def list_told(self) -> None:
-        self.engines = [e for e in self.engines if e.state == READY]
-        self.all_warm = max((e.started for e in self.engines), default=0) + self.cold_span
-        self.orders.clear()
+        self._gather()
         self._pump()
 
     def engine_aside(self, engine: Engine, how: int) -> None:
@@ -228,12 +232,28 @@
             queue.asked += len(queue.badness) - queue.asked / LAST
         asked = [(queue.asked, queue.asked * queue.offering.usual) for queue in self.queues.values()]
         self.mean_work = sum(work for _, work in asked) / (sum(count for count, _ in asked) or 1.0)
+        if len(self.engines) < len(self.placed):
+            # Danger: gateways that started at one moment would all change their sets at one moment.
+            self.host.wake(crc32(pack("<qQ", self.number, self.host.now)) % PERIOD, self.set_due)
         moving = [queue for queue in self.queues.values() if queue.badness]
         for queue in moving:
             late, queue.badness = sorted(queue.badness), []
             queue.model.append((queue.share, 1 / max(late[int(0.99 * len(late))], 1e-3)))
         self._equalise(moving)
 
+    def set_due(self) -> None:
+        """The set is wider while engines of it do badly, or this gateway has several times its part."""
+        many, bad, was = len(self.engines), sum(not self._trusted(e.view) for e in self.engines), self.wider
+        # Danger: with a hall lost, all gateways would call at all others at once; so by bounded steps.
+        self.wider += min(max(min(many / max(many - bad, 1), WIDEST) - was, -WIDER / 2), WIDER)
+        part = self.slots * fmean([e.cores for e in self.engines] or [1.0]) * len(self.placed) * LAST * PERIOD
+        busy = sum(queue.asked * queue.offering.usual for queue in self.queues.values()) / part
+        if not 0.7 < (busy := min(max(busy, 1.0), BUSIEST)) / self.busy < 1.4:
+            self.busy = busy    # Danger: a set that follows each swing of traffic is never warm
+        self._gather()
+        if (self.wider > 1.0) != (was > 1.0):
+            self.host.log(f"set {'wider' if self.wider > 1.0 else 'as before'}: {len(self.engines)} engines")
+
     # Shares and the lottery.
 
     def _equalise(self, moving: list[Queue]) -> None:
@@ -296,14 +316,64 @@
 
     # Engines.
 
+    def _rank(self, mark: bytes) -> float:
+        """Where this gateway comes among all of them for an engine, in (0, 1): a knock-out over blocks of 2^i
+        in a row, so that below any bound are nearly as many gateways for each engine, with no agreement."""
+        number, hashed, level = self.number % 2 ** 20, crc32(mark) + 1, 0
+        # Danger: checksums are linear; without the product many gateways would hold the very same set.
+        while level < 20 and number >> level & 1 == 1 & crc32(
+                pack("<Q", hashed * (64 * (number >> level + 1) + 2 * level + 1))):
+            level += 1
+        return (1 + ((number >> level + 1) * GOLDEN + hashed / 2 ** 32) % 1) / 2 ** (level + 1)
+
+    def _gather(self) -> None:
+        """The working set: of each place the first by rank, as far as its size asks."""
+        many, places = max(len(self.placed), 1), self.places
+        wider = self.wider * self.busy
+        most = max(BASE, WHOLE ** 2 / many, COVER * many / self.gateways)
+        parts = dict.fromkeys(places, most * wider / many)
+        for offering in self.offerings:     # Danger: a kind that few engines are of would be in few sets
+            able = [place for place in places if self._open_to(offering, *place)]
+            part = AT_HAND * wider / max(sum(len(places[place]) for place in able), 1)
+            parts.update((place, max(parts[place], part)) for place in able)
+        held = dict.fromkeys(engine for place, part in parts.items() for engine in places[place][
+            :bisect_right(places[place], part, key=lambda each: each.rank)])
+        for offering in self.offerings:
+            # Danger: by chance, or as they fail, a set may hold none that an offering may use.
+            have = sum(self._open_to(offering, e.hall, e.kind) and self._trusted(e.view) for e in held)
+            if have < FEW and len(held) < many:
+                more = [e for e in self.placed if self._open_to(offering, e.hall, e.kind) and e not in held]
+                more.sort(key=lambda each: (not self._trusted(each.view), each.rank))
+                held |= dict.fromkeys(more[:FEW - have])
+        for engine in (*self.engines, *held):
+            engine.near = engine in held
+        self.engines = [*held]
+        self.all_warm = max((e.started for e in held), default=0) + self.cold_span
+        self.orders.clear()
+
+    def _beyond(self, sub: Submission, tried: list[Engine]) -> Engine | None:
+        """Danger: those that know the label of what may have run may all lie outside the working set."""
+        offering, ran = sub.offering, self._ran(sub)
+        what = {"zone": "hall", "cell": "cell"}.get(offering.group) if offering.repeat == LABELLED else ""
+        if len(self.engines) == len(self.placed) or not (ran and what):
+            return None
+        usual, key = self._usual_slowness(), (what, getattr(ran[-1].engine, what))
+        if key not in self.orders:
+            self.orders[key] = [e for e in self.placed if getattr(e, what) == key[1]]
+        able = [e for e in self.orders[key] if e not in tried and self._may(sub, e)]
+        able = [e for e in [e for e in able if self._well(e)] or able if not self._full(e, offering, usual)]
+        return min(able, key=lambda each: (self._crowd(each, offering, usual), each.rank), default=None)
+
+    def _open_to(self, offering: Offering, hall: int, kind: int) -> bool:
+        return hall in (offering.halls or (hall,)) and kind in (offering.kinds or (kind,))
+
     def _order(self, tables: float) -> list[Engine]:
-        """All engines, in the order hashed from the table group: alike at every gateway."""
-        order = self.orders.get(tables)
-        if order is None:
+        """The working set, in the order hashed from the table group: alike at every gateway."""
+        if tables not in self.orders:
             mark = b"%d:" % int(tables)
-            order = self.orders[tables] = sorted((e for e in self.engines if e.aside < 2),
-                                                 key=lambda e: (crc32(mark + e.mark), e.mark))
-        return order
+            self.orders[tables] = sorted((e for e in self.engines if e.aside < 2),
+                                         key=lambda e: (crc32(mark + e.mark), e.mark))
+        return self.orders[tables]
 
     def _choose(self, sub: Submission) -> Engine | None:
         """The engine for the next hand-off; None while all that it may use are full."""
@@ -327,6 +397,8 @@
         # Danger: engines that fail, are silent or refuse. Never all of them at once: when none does well,
         # the trouble is likely not theirs, and all are used.
         for well, fresh in (True, True), (True, False), (False, True), (False, False):
+            if not (well and fresh) and (beyond := self._beyond(sub, tried)):
+                return beyond
             near, spare, seen = [], [], 0
             for n, engine in enumerate(order):
                 if (engine not in tried or not fresh) and self._may(sub, engine) and (
@@ -348,10 +420,9 @@
     def _may(self, sub: Submission, engine: Engine) -> bool:
         """The rules on where a submission may go."""
         offering = sub.offering
-        if (offering.halls and engine.hall not in offering.halls) or (
-                offering.kinds and engine.kind not in offering.kinds) or (offering.repeat == LABELLED and any(
-                    (offering.group == "zone" and engine.hall != h.engine.hall) or
-                    (offering.group == "cell" and engine.cell != h.engine.cell) for h in self._ran(sub))):
+        if not self._open_to(offering, engine.hall, engine.kind) or (offering.repeat == LABELLED and any(
+                (offering.group == "zone" and engine.hall != h.engine.hall) or
+                (offering.group == "cell" and engine.cell != h.engine.cell) for h in self._ran(sub))):
             return False
         return not self._set_aside(sub, engine, self._ran(sub)) and (
             not self._cold(engine) or self._cold_room(engine, offering.usual))
