--- a/corkgauge/stated.py
+++ b/corkgauge/stated.py
@@ -42,7 +42,9 @@
         self.budget = (figure(rules, "extraFloor", 0.0), figure(rules, "extraPerRequest", 0.0),
                        span) if span else None
         self.gateway = Gateway(
-            host, seed=seed, number=figure(said, "myNumber", 0), gateways=figure(said, "instances", 1, 1),
+            # Danger: gateways that are told no number would all be in turn at once, and have one working set.
+            host, seed=seed, number=figure(said, "myNumber", seed % 2 ** 20),
+            gateways=figure(said, "instances", 1, 1),
             tick=-(-figure(said, "periodUs", 1000) // 100), offerings=self.offerings,
             cancels=bool(limits.get("cancel")), copies=bool(limits.get("secondCopies")),
             most_handoffs=figure(limits, "mostTries", 1, 1),
--- /dev/null
+++ b/tests/test_subset.py
@@ -0,0 +1,274 @@
+"""The working set of engines that each gateway has of a long list: even, steady, whole where the list is short."""
+
+from collections import Counter
+from hashlib import md5
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from corkgauge import control
+from corkgauge.control import Gateway
+from corkgauge.interface import DRAINING, FULL, GONE, LABELLED, READY, RESET, TIMED_OUT, UNREACHED, Engine
+from corkgauge.stated import Stated
+from tests.yard import QUICK, SECOND, STATED_ON_SOCKETS, Yard
+
+RARE = {**QUICK, "name": "rare", "kinds": (1,)}
+
+
+def fleet_engines(many, rare=0, halls=5, mark=b"s-%d"):
+    """So many engines; the last `rare` of them are of kind 1."""
+    return [Engine(f"s{n}", mark % n, n % halls, int(n >= many - rare), n // 3, cores=8.0, name=f"s{n}")
+            for n in range(many)]
+
+
+def gateway_before(engines, number=5, gateways=870, offerings=(QUICK,), **stated):
+    """A gateway on its host, told these engines; copies, as what it has seen of them is its own."""
+    yard = Yard(offerings=offerings, engines=0, number=number, gateways=gateways, **stated)
+    yard.engines = [Engine(e.tag, e.mark, e.hall, e.kind, e.cell, cores=e.cores, name=e.name) for e in engines]
+    yard.tell(*yard.engines)
+    return yard
+
+
+def held(yard):
+    return {engine.tag for engine in yard.gateway.engines}
+
+
+def sets_of(engines, numbers, **more):
+    return [held(gateway_before(engines, number, **more)) for number in numbers]
+
+
+def worst_over_mean(engines, sets):
+    """Sets that an engine is in, by hall and kind."""
+    count = Counter(tag for each in sets for tag in each)
+    places = {}
+    for engine in engines:
+        places.setdefault((engine.hall, engine.kind), []).append(count[engine.tag])
+    return max(max(each) / (sum(each) / len(each)) for each in places.values())
+
+
+@pytest.mark.parametrize("many", [1, 5, 40, 80, 128])
+def test_a_short_list_is_the_set(many):
+    yard = gateway_before(fleet_engines(many, rare=many // 4), offerings=(QUICK, RARE))
+    assert held(yard) == {engine.tag for engine in yard.engines} and all(each.near for each in yard.engines)
+
+
+@pytest.mark.parametrize("many, least, most", [(129, 100, 140), (200, 50, 115), (400, 25, 75), (1800, 25, 75)])
+def test_a_long_list_has_a_bounded_set(many, least, most):
+    for number in 0, 1, 7, 500, 869, 10 ** 7:
+        yard = gateway_before(fleet_engines(many), number)
+        assert least <= len(held(yard)) <= most
+        assert {engine.tag for engine in yard.engines if engine.near} == held(yard)
+
+
+def test_few_gateways_before_many_engines_hold_them_all_together():
+    engines = fleet_engines(600)
+    for gateways in 3, 12:
+        sets = sets_of(engines, range(gateways), gateways=gateways)
+        assert set().union(*sets) == {engine.tag for engine in engines}
+
+
+@settings(max_examples=5, deadline=None)
+@given(st.integers(300, 900), st.integers(600, 1800), st.integers(0, 10 ** 6))
+def test_each_engine_is_in_nearly_as_many_sets_as_any_other(gateways, many, salt):
+    part = max(control.BASE, 128 ** 2 / many, control.COVER * many / gateways) / many
+    gateway, count = Yard(engines=0, gateways=gateways).gateway, [0] * 40
+    for gateway.number in range(gateways):
+        for n in range(40):
+            count[n] += gateway._rank(b"%d-%d" % (salt, n)) <= part
+    assert max(count) <= 1.25 * gateways * part and min(count) >= 0.75 * gateways * part
+
+
+def test_the_bound_on_evenness_objects_to_ranks_by_plain_hash(monkeypatch):
+    engines = fleet_engines(400, rare=40)
+    numbers = range(0, 300)
+    assert worst_over_mean(engines, sets_of(engines, numbers, gateways=300, offerings=(QUICK, RARE))) <= 1.25
+    monkeypatch.setattr(Gateway, "_rank", lambda gateway, mark: int.from_bytes(
+        md5(b"%d" % gateway.number + mark).digest()[:4]) / 2 ** 32)
+    assert worst_over_mean(engines, sets_of(engines, numbers, gateways=300, offerings=(QUICK, RARE))) > 1.25
+
+
+def test_the_sets_of_two_gateways_share_little_more_than_chance():
+    """Danger: were many sets the same, those engines would carry all that these gateways have."""
+    sets = sets_of(fleet_engines(1000), range(0, 130))
+    shared = [len(a & b) for n, a in enumerate(sets) for b in sets[n + 1:]]
+    assert max(shared) < 16 and sum(shared) / len(shared) < 4     # 48 of 1,000: 2.3 by chance
+
+
+def test_one_engine_more_or_less_changes_little_and_what_comes_back_finds_its_place():
+    yards = [gateway_before(fleet_engines(900), number) for number in range(120)]
+    before = [held(yard) for yard in yards]
+    newcomer = Engine("new", b"new", 2, 0, 7, cores=8.0)
+    for yard in yards:
+        yard.tell(Engine("new", b"new", 2, 0, 7, cores=8.0))
+    changed = sum(len(held(yard) ^ was) for yard, was in zip(yards, before))
+    assert changed <= 3 * 120 * 48 / 900 + 10, changed      # those that hold it, and as many that let one go
+    assert 3 <= sum("new" in held(yard) for yard in yards) <= 10 and newcomer.rank == 0.0
+    for yard in yards:
+        yard.tell(next(each for each in yard.gateway.placed if each.tag == "new"), state=GONE)
+    assert [held(yard) for yard in yards] == before
+
+
+def test_a_rolling_release_moves_nothing_for_good():
+    yard = gateway_before(fleet_engines(300))
+    before = held(yard)
+    for first in range(0, 300, 30):
+        step = yard.engines[first:first + 30]
+        yard.tell(*step, state=DRAINING)
+        assert not held(yard) & {engine.tag for engine in step}
+        yard.tell(*step, state=GONE)
+        yard.tell(*step, started=yard.now)
+    assert held(yard) == before
+
+
+def test_an_offering_that_few_engines_may_run_has_them_at_hand():
+    few = fleet_engines(1800, rare=1)
+    for number in range(0, 870, 50):
+        assert "s1799" in held(gateway_before(few, number, offerings=(QUICK, RARE)))
+    some = fleet_engines(1800, rare=60)
+    for number in range(0, 870, 50):
+        yard = gateway_before(some, number, offerings=(QUICK, RARE))
+        rare = [each for each in yard.gateway.engines if each.kind]
+        assert control.FEW <= len(rare) < 30
+        yard.take(1)
+        assert yard.said("hand_off")[0][1] in {each.tag for each in rare}
+
+
+def test_an_offering_whose_engines_at_hand_all_fail_gets_others():
+    yard = gateway_before(fleet_engines(600, rare=60), offerings=(QUICK, RARE))
+    rare = [each for each in yard.gateway.engines if each.kind]
+    for engine in rare:
+        engine.view.faults.append("unreached")
+    yard.gateway.set_due()
+    able = [each for each in yard.gateway.engines if each.kind and yard.gateway._trusted(each.view)]
+    assert len(able) >= control.FEW
+
+
+def failing(yard, engines):
+    for engine in engines:
+        engine.view.faults.append("unreached")
+
+
+def test_what_fails_is_replaced_by_bounded_steps_and_given_back():
+    yard = gateway_before(fleet_engines(1500))
+    before, sizes = held(yard), []
+    for _ in range(8):
+        dead = [engine for engine in yard.gateway.engines if engine.hall in (0, 1, 2)]
+        failing(yard, dead)
+        yard.pass_time(2 * SECOND)
+        sizes.append(len(held(yard)))
+    assert before < held(yard) and 1.6 * len(before) < sizes[-1] <= 2.6 * len(before)
+    steps = [later - sooner for sooner, later in zip([len(before), *sizes], sizes)]
+    assert max(steps) <= 0.45 * len(before), steps      # a fifth a period, and chance
+    for engine in dead:
+        engine.view.faults.append("")
+    yard.pass_time(60 * SECOND)
+    assert held(yard) == before
+    assert [line for line, _ in yard.said("log") if line.startswith("set ")][0].startswith("set wider")
+
+
+def test_gateways_that_started_together_do_not_change_their_sets_in_step():
+    yards = [gateway_before(fleet_engines(200), number) for number in range(100)]
+    moments = []
+    for yard in yards:
+        yard.gateway.interval_over()
+        moments += [when - yard.now for when, _, method, _ in yard.wakes if method == yard.gateway.set_due]
+    assert len(moments) == 100
+    tenths = Counter(moment * 10 // (2 * SECOND) for moment in moments)
+    assert max(tenths.values()) <= 25 and len(tenths) >= 8
+
+
+def test_a_short_list_is_never_looked_at_again():
+    yard = gateway_before(fleet_engines(100))
+    yard.pass_time(10 * SECOND)
+    assert not [each for each in yard.wakes if each[2] == yard.gateway.set_due]
+
+
+def test_a_gateway_with_several_times_its_part_has_a_wider_set():
+    sizes = {}
+    for times in 0.5, 3.0, 30.0:
+        yard = gateway_before(fleet_engines(1800))
+        work = 8 * 1800 * control.THREADS_PER_CORE / 870 * times    # cores' worth of its part
+        queue = yard.take().queue
+        for _ in range(12):
+            many = int(work * 2 * SECOND / queue.offering.usual)
+            queue.badness += [0.5] * many
+            yard.gateway.interval_over()
+        yard.gateway.set_due()
+        sizes[times] = len(held(yard))
+    assert sizes[0.5] < 70 and 1.8 * sizes[0.5] < sizes[3.0] < 4 * sizes[0.5] and sizes[30.0] < 5.2 * sizes[0.5]
+
+
+@pytest.mark.parametrize("group", ["cell", "zone"])
+def test_what_may_have_run_is_tried_again_where_its_label_is_known_also_beyond_the_set(group):
+    label = {**QUICK, "repeat": LABELLED, "group": group, "remembered": 60 * SECOND}
+    alone = 0
+    for number in range(0, 400, 10):
+        yard = gateway_before(fleet_engines(900, halls=300), number, offerings=(label,))
+        sub = yard.take()
+        first = sub.handoffs[0].engine
+        place = (lambda each: each.cell) if group == "cell" else (lambda each: each.hall)
+        alone += sum(place(each) == place(first) for each in yard.gateway.engines) == 1
+        yard.over(sub.handoffs[0], TIMED_OUT)
+        assert len(sub.handoffs) == 2
+        second = sub.handoffs[1].engine
+        assert place(second) == place(first) and second is not first
+    assert alone > 10       # in most sets it is the only one of its group
+
+
+def test_what_never_ran_stays_within_the_set():
+    yard = gateway_before(fleet_engines(900))
+    sub = yard.take()
+    for outcome in FULL, UNREACHED, RESET:
+        if not sub.over and sub.handoffs[-1].out:
+            yard.over(sub.handoffs[-1], outcome)
+    assert len(sub.handoffs) > 1 and all(each.engine.near for each in sub.handoffs)
+
+
+def most_at_a_cold_engine(told, grown=1.0):
+    """120 gateways with work without end, of which half know half of the list only; `told` is how many they are told
+    there are, over how many there are; `grown` spoils their part. Requests of mean work in the worst window that a
+    cold engine got, over what the rule allows: N and twice the root of N + 2."""
+    gateways, span, work = 120, SECOND, 2000.0
+    engines, yards, sent = fleet_engines(300), [], []
+    for number in range(gateways):
+        yard = gateway_before(engines[number % 2 * 150:], number, gateways=int(gateways * told), cold_share=0.3,
+                              fall_multiple=2.0, fall_span=span, cold_span=15 * SECOND)
+        yard.now += 20 * SECOND
+        yard.gateway.cold_part *= grown
+        yards.append(yard)
+        cold = next(each for each in yard.engines if each.tag == "s200")
+        yard.gateway.engine_told(cold, READY, yard.now)
+        yard.gateway.list_told()
+    for tick in range(0, 5 * SECOND, SECOND // 10):
+        for yard in yards:
+            yard.now = 120 * SECOND + tick + 1
+            sub = yard.take(estimate=int(work))
+            sent += [tick for each in sub.handoffs if each.engine.tag == "s200"]
+            for each in sub.handoffs:
+                yard.over(each, took=500, work=int(work))
+    allowed = 2.0 * 0.3 * 8.0 * span / work
+    worst = max(sum(since <= when < since + span for when in sent) for since in sent)
+    return worst / (allowed + 2 * (allowed + 2) ** 0.5)
+
+
+@pytest.mark.parametrize("told", [1.0, 0.5, 2.0])
+def test_the_sum_at_a_cold_engine_holds_whatever_gateways_believe(told):
+    assert 0 < most_at_a_cold_engine(told) <= 1.0
+
+
+def test_the_sum_objects_where_a_part_is_divided_by_those_that_should_hold_the_engine():
+    assert most_at_a_cold_engine(1.0, grown=300 / 54) > 1.0
+
+
+def test_gateways_that_are_told_no_number_do_not_share_one_set():
+    found = []
+    for seed in 0x3a91c07e55, 0x11d0b77a02, 0x5b6e4f0c9d:
+        said = {**STATED_ON_SOCKETS, "instances": 870}
+        host = Yard(engines=0)
+        gateway = Stated(said, host, seed).gateway
+        for engine in fleet_engines(900):
+            gateway.engine_told(engine, READY, 0)
+        gateway.list_told()
+        found.append({engine.tag for engine in gateway.engines})
+    assert all(len(a & b) < 15 for n, a in enumerate(found) for b in found[n + 1:])
