Sets move by bounded steps at a moment of each gateway's own; a bar for each offering

Engines that a narrow offering needs are in nine times as many sets as others, and would get nine times their work from all offerings: so each offering has a bar of its own, the rank up to which engines are for it. A hall that leaves the list would make 870 gateways turn to others in one moment: so a part that is within twice what it should be stays, and moves by a fifth a period when the gateway's own moment comes.

--- a/corkgauge/control.py
+++ b/corkgauge/control.py
@@ -1,9 +1,8 @@
 """All decisions of the gateway.
 
-A host builds one `Gateway` and calls one method for each thing that happens: those without an underscore.
-The gateway calls the host back; `interface.py` holds the host protocol, outcome names and records. Times are
-whole tenths of a millisecond. The ordinary path is in docs/design.md; what follows a comment that starts with
-"Danger" is an exception, and acts only on the symptom named there.
+A host builds one `Gateway` and calls one method for each thing that happens: those without an underscore;
+the gateway calls it back (`interface.py` holds the protocol). Times are whole tenths of a millisecond. The
+ordinary path is in docs/design.md; what follows "Danger" is an exception for the symptom named there alone.
 """
 
 from bisect import bisect_right, insort
@@ -18,15 +17,12 @@
 from corkgauge.interface import Queue, Submission, View
 
 SECOND, MOMENT = 10_000, 200    # a figure of many samples stands for a moment
-PERIOD = 2 * SECOND     # of the feedback
-INTERVALS = 5           # that the linear model sees
+PERIOD, INTERVALS = 2 * SECOND, 5   # of the feedback; that the linear model sees
 SIGMA, FLOOR = 0.05, 0.1    # most that a share moves in a period; least share, of an equal share
 THREADS_PER_CORE = 0.9  # of all gateways together, where the bound starts
-LIGHT = 2.0             # bound for offerings lighter than the others' mean, over that of the heavy
-CROWDED = 1.5           # threads a core that one gateway never passes
+LIGHT, CROWDED = 2.0, 1.5   # bound for light offerings, over the heavy ones'; threads a core, at the most
 TIERS = 0.25, 1.0, 2.0  # of the usual work, beyond which a draw's priority is one lower each
-STEP, LEAST_TOLD = 0.1, 0.4     # of the bound; of a step of the price, for answers to light work
-LEAST_BOUND = 0.25      # how far refusals push the bound below its start
+STEP, LEAST_TOLD, LEAST_BOUND = 0.1, 0.4, 0.25  # of the bound; of a price's step, if light; of its start
 UNSEEN, PRESSED = 1.5, 2.0  # latency over the work's time, before any answer; over its best: pressure
 WAIT_PART = 0.06        # of a submission's life that it waits in its queue at most
 HOME = 0.25             # threads a core by which the next in order must be emptier, as its tables are cold
@@ -39,7 +35,8 @@
 OWN_EXTRA = 10, 0.5, 5 * SECOND  # budget for further hand-offs where none is stated
 WHOLE = 128             # engines in a list that is asked whole; of longer ones a gateway has a working set
 BASE, COVER, AT_HAND = 48, 16, 8    # engines of it; sets that each is in; engines of it for any offering
-WIDER, WIDEST, BUSIEST = 0.2, 2.0, 4.0  # a set's growth in a period, and in all, for failures; for traffic
+WIDER, WIDEST = 0.2, 2.0    # a set's growth in a period; in all, for failures
+SEVERAL, BUSIEST = 1.5, 4.0     # times its part of the traffic, where a set begins to grow; in all
 
 
 class Gateway:
@@ -59,7 +56,7 @@
         self.number, self.gateways, self.mean_work = number, gateways, 0.0  # of what is asked for
         self.extra = (extra_floor, extra_share, extra_span) if extra_span else OWN_EXTRA
         self.strict = 1.0       # part of that budget, where the fleet's further hand-offs are a storm
-        self.offerings, self.wider, self.busy = offerings, 1.0, 1.0     # how much wider the working set is
+        self.offerings, self.part, self.wider, self.busy = offerings, 0.0, 1.0, 1.0     # of the working set
         self.engines: list[Engine] = []     # the working set: all, or the first by rank of each place
         self.places: dict[tuple[int, int], list[Engine]] = {}   # all ready ones, by hall and kind, by rank
         self.placed: dict[Engine, tuple[int, int]] = {}
@@ -94,6 +91,9 @@
             insort(self.places.setdefault(place, []), engine, key=lambda each: each.rank)
 
     def list_told(self) -> None:
+        # Danger: as a hall goes, all gateways would call at others at once; so it moves when `set_due`.
+        if (wanted := self._wanted()) >= 1.0 or not 0.5 <= self.part / wanted <= 2.0:
+            self.part = wanted
         self._gather()
         self._pump()
 
@@ -143,7 +143,7 @@
             self._close(sub, sub.life)      # the client has gone; nothing more is owed
 
     def expiry_near(self, sub: Submission) -> None:
-        if not sub.over:    # the last moment for a final answer
+        if not sub.over:
             self._end(sub)
 
     def wait_over(self, sub: Submission, joined: int) -> None:
@@ -232,7 +232,7 @@
             queue.asked += len(queue.badness) - queue.asked / LAST
         asked = [(queue.asked, queue.asked * queue.offering.usual) for queue in self.queues.values()]
         self.mean_work = sum(work for _, work in asked) / (sum(count for count, _ in asked) or 1.0)
-        if len(self.engines) < len(self.placed):
+        if self._wanted() < 1.0:
             # Danger: gateways that started at one moment would all change their sets at one moment.
             self.host.wake(crc32(pack("<qQ", self.number, self.host.now)) % PERIOD, self.set_due)
         moving = [queue for queue in self.queues.values() if queue.badness]
@@ -244,15 +244,16 @@
     def set_due(self) -> None:
         """The set is wider while engines of it do badly, or this gateway has several times its part."""
         many, bad, was = len(self.engines), sum(not self._trusted(e.view) for e in self.engines), self.wider
-        # Danger: with a hall lost, all gateways would call at all others at once; so by bounded steps.
-        self.wider += min(max(min(many / max(many - bad, 1), WIDEST) - was, -WIDER / 2), WIDER)
-        part = self.slots * fmean([e.cores for e in self.engines] or [1.0]) * len(self.placed) * LAST * PERIOD
-        busy = sum(queue.asked * queue.offering.usual for queue in self.queues.values()) / part
-        if not 0.7 < (busy := min(max(busy, 1.0), BUSIEST)) / self.busy < 1.4:
+        self.wider = min(many / max(many - bad, 1), WIDEST)
+        usual = self.slots * fmean([e.cores for e in self.engines] or [1.0]) * len(self.placed) * SEVERAL
+        asked = sum(queue.asked * queue.offering.usual for queue in self.queues.values()) / (LAST * PERIOD)
+        if not 0.7 < (busy := min(max(asked / usual, 1.0), BUSIEST)) / self.busy < 1.4:
             self.busy = busy    # Danger: a set that follows each swing of traffic is never warm
+        # Danger: with a hall lost, all gateways would call at all others at once; so by bounded steps.
+        self.part += min(max(self._wanted() - self.part, -WIDER / 2 * self.part), WIDER * self.part)
         self._gather()
-        if (self.wider > 1.0) != (was > 1.0):
-            self.host.log(f"set {'wider' if self.wider > 1.0 else 'as before'}: {len(self.engines)} engines")
+        if (self.wider > 1 + WIDER) != (was > 1 + WIDER):
+            self.host.log(f"set {'wider' if self.wider > was else 'as before'}: {len(self.engines)} engines")
 
     # Shares and the lottery.
 
@@ -317,8 +318,7 @@
     # Engines.
 
     def _rank(self, mark: bytes) -> float:
-        """Where this gateway comes among all of them for an engine, in (0, 1): a knock-out over blocks of 2^i
-        in a row, so that below any bound are nearly as many gateways for each engine, with no agreement."""
+        """Where this gateway comes among all for an engine, in (0, 1): a knock-out by blocks of 2^i."""
         number, hashed, level = self.number % 2 ** 20, crc32(mark) + 1, 0
         # Danger: checksums are linear; without the product many gateways would hold the very same set.
         while level < 20 and number >> level & 1 == 1 & crc32(
@@ -326,31 +326,33 @@
             level += 1
         return (1 + ((number >> level + 1) * GOLDEN + hashed / 2 ** 32) % 1) / 2 ** (level + 1)
 
+    def _wanted(self) -> float:
+        """How large a part of all engines the working set should be."""
+        many = max(len(self.placed), 1)
+        return max(BASE, WHOLE ** 2 / many, COVER * many / self.gateways) * self.wider * self.busy / many
+
     def _gather(self) -> None:
-        """The working set: of each place the first by rank, as far as its size asks."""
-        many, places = max(len(self.placed), 1), self.places
-        wider = self.wider * self.busy
-        most = max(BASE, WHOLE ** 2 / many, COVER * many / self.gateways)
-        parts = dict.fromkeys(places, most * wider / many)
-        for offering in self.offerings:     # Danger: a kind that few engines are of would be in few sets
-            able = [place for place in places if self._open_to(offering, *place)]
-            part = AT_HAND * wider / max(sum(len(places[place]) for place in able), 1)
-            parts.update((place, max(parts[place], part)) for place in able)
-        held = dict.fromkeys(engine for place, part in parts.items() for engine in places[place][
-            :bisect_right(places[place], part, key=lambda each: each.rank)])
+        """The working set: of each place the first by rank, up to the highest bar of those it is for."""
+        bars, held = dict.fromkeys(self.places, self.part), self.engines
         for offering in self.offerings:
-            # Danger: by chance, or as they fail, a set may hold none that an offering may use.
-            have = sum(self._open_to(offering, e.hall, e.kind) and self._trusted(e.view) for e in held)
-            if have < FEW and len(held) < many:
-                more = [e for e in self.placed if self._open_to(offering, e.hall, e.kind) and e not in held]
-                more.sort(key=lambda each: (not self._trusted(each.view), each.rank))
-                held |= dict.fromkeys(more[:FEW - have])
-        for engine in (*self.engines, *held):
-            engine.near = engine in held
-        self.engines = [*held]
-        self.all_warm = max((e.started for e in held), default=0) + self.cold_span
+            able = [place for place in self.places if self._open_to(offering, *place)]
+            many = sum(len(self.places[place]) for place in able)
+            # Danger: of a kind that few engines are of, or that fail, a set may hold none.
+            offering.bar = min(max(self.part, AT_HAND * self.wider / max(many, 1)), 1.0)
+            if sum(self._trusted(e.view) for place in able for e in self._first(place, offering.bar)) < FEW:
+                offering.bar = (sorted(e.rank for place in able for e in self.places[place] if self._trusted(
+                    e.view)) + FEW * [1.0])[FEW - 1]
+            bars.update((place, max(bars[place], offering.bar)) for place in able)
+        self.engines = [engine for place, bar in bars.items() for engine in self._first(place, bar)]
+        for near, engines in (False, held), (True, self.engines):
+            for engine in engines:
+                engine.near = near
+        self.all_warm = max((e.started for e in self.engines), default=0) + self.cold_span
         self.orders.clear()
 
+    def _first(self, place: tuple[int, int], bar: float) -> list[Engine]:
+        return self.places[place][:bisect_right(self.places[place], bar, key=lambda each: each.rank)]
+
     def _beyond(self, sub: Submission, tried: list[Engine]) -> Engine | None:
         """Danger: those that know the label of what may have run may all lie outside the working set."""
         offering, ran = sub.offering, self._ran(sub)
@@ -367,13 +369,14 @@
     def _open_to(self, offering: Offering, hall: int, kind: int) -> bool:
         return hall in (offering.halls or (hall,)) and kind in (offering.kinds or (kind,))
 
-    def _order(self, tables: float) -> list[Engine]:
+    def _order(self, tables: float, bar: float = 1.0) -> list[Engine]:
         """The working set, in the order hashed from the table group: alike at every gateway."""
-        if tables not in self.orders:
+        if (tables, bar) not in self.orders:
             mark = b"%d:" % int(tables)
-            self.orders[tables] = sorted((e for e in self.engines if e.aside < 2),
-                                         key=lambda e: (crc32(mark + e.mark), e.mark))
-        return self.orders[tables]
+            # Danger: what a narrow offering needs is in many sets, and would draw all others' work from each.
+            self.orders[tables, bar] = sorted((e for e in self.engines if e.aside < 2 and e.rank <= bar),
+                                              key=lambda e: (crc32(mark + e.mark), e.mark))
+        return self.orders[tables, bar]
 
     def _choose(self, sub: Submission) -> Engine | None:
         """The engine for the next hand-off; None while all that it may use are full."""
@@ -382,7 +385,7 @@
                 self._may_again(sub) and self._extra_left())):
             return None
         usual, tried = self._usual_slowness(), [h.engine for h in sub.handoffs]
-        order = self._order(sub.tables)
+        order = self._order(sub.tables, sub.offering.bar)
         drawn, work = sum(e.view.drawn for e in order), sub.offering.usual
         even = EVEN * drawn / max(sum(e.cores for e in order), 1)
         wide = home = 0
@@ -450,7 +453,6 @@
         return since >= self.born and work * turn <= part - spent and not (thin and spent > 0)
 
     def _heard(self, engine: Engine) -> None:
-        """A sign of an engine's own."""
         engine.view.heard = self.host.now
         self.lost.pop(engine.hall, None)
 
--- a/corkgauge/interface.py
+++ b/corkgauge/interface.py
@@ -37,6 +37,7 @@
     threads: int = 1
     samples: Any = None         # the gateway's last few answers
     usual: float = 0.0          # work, as they tell it
+    bar: float = 1.0            # rank up to which engines of the gateway's working set are for it
 
 
 @dataclass(eq=False, slots=True)
