--- a/benchmarks/scale_subset.py
+++ b/benchmarks/scale_subset.py
@@ -4,8 +4,8 @@
     python benchmarks/scale.py subset --quick           a tenth of both, one seed, nothing kept
 
 Owns the fleet that the options are held against: ten places unevenly filled, uneven traffic, classes that may use one
-kind or one place only. The sets are those of corkgauge/model/subsets.py; two options ask for a figure of each pair,
-worked out once for all lists, and what is made of it is held against the pure function on some gateways in each run.
+kind or one place only. The sets are those of corkgauge/model/subsets.py; what some options ask of each pair, or of each
+round, is worked out once, and what is made of it is held against the pure function on some gateways in each run.
 Must never serve, open a socket, or hold a figure that no run gave.
 """
 
@@ -13,7 +13,6 @@
 import random
 import time
 from collections.abc import Callable, Iterable
-from statistics import median
 from typing import Any
 
 import click
@@ -27,6 +26,7 @@
 SIZE, UTILISED = 48, 0.6        # of a set; of capacity, before a zone is lost
 SIGMA, LONGEST, HOT = 0.7, 4.0, 5.0     # traffic: log-normal, cut there; one gateway in 109 sees five times the mean
 SAFETY = 0.9 * 0.85     # of its part of a cold engine's allowance that a gateway uses, as in control.py
+GROUPS = 20             # of tables, of the engines at which a group begins
 NARROW = 1e-9           # weight of a member that is held for one class alone
 DRAWS = 40              # for each engine, of the load under choice
 SWEEP = 16, 24, 32, 48, 64, 96, 128, 192
@@ -78,6 +78,12 @@
         elif option == "rendezvous":
             nearest = numpy.argpartition(self.hashes[:gateways, listed], size - 1, axis=1)[:, :size]
             numpy.put_along_axis(found, listed[nearest], 1.0, axis=1)
+        elif option == "rounds":
+            names, parts = [self.names[n] for n in listed], max(len(listed) // size, 1)
+            for turn in range(-(-gateways // parts)):
+                columns = [self.column[name] for name in subsets.dealt(turn, names)]
+                for part in range(min(parts, gateways - turn * parts)):
+                    found[turn * parts + part, columns[part * size:(part + 1) * size]] = 1.0
         else:
             names = [self.names[n] for n in listed]
             for g in range(gateways):
@@ -113,7 +119,7 @@
         names, places = [self.names[n] for n in self.listed], self.by_place(self.listed)
         bars = subsets.bars(self.gateways, places, self.classes, size)
         some = self.chance.sample(range(self.gateways), min(self.gateways, 6))
-        for option in ("rendezvous", "tournament", "ours", "ours_twice"):
+        for option in ("rendezvous", "rounds", "tournament", "ours", "ours_twice"):
             made = self.weights(option, size)
             for g in some:
                 wider = float(WIDER["fair" if option == "ours" else "twice"](self.demand)[g])
@@ -155,6 +161,27 @@
     return numpy.array(counts)[listed]
 
 
+def homes(fleet: Fleet, sets: Any, listed: Any) -> float:
+    """Engines over which the first hand-offs of a table group spread (inverse of the sum of squared parts), where each
+    gateway begins at the first of its set in the order hashed from the group; the mean of some groups."""
+    draws, found = numpy.random.default_rng(fleet.seed + 3), []
+    for _ in range(GROUPS):
+        order = draws.permutation(listed)
+        first = order[numpy.argmax(sets[:, order] > NARROW, axis=1)]
+        parts = numpy.bincount(first, fleet.demand[:len(sets)]) / fleet.demand[:len(sets)].sum()
+        found.append(1 / (parts ** 2).sum())
+    return float(numpy.mean(found))
+
+
+def unnumbered(fleet: Fleet, size: int) -> float:
+    """Evenness of ours, bare, where gateways know no number among all and take one by hash of their names."""
+    found = numpy.zeros(fleet.engines)
+    for gateway in range(fleet.gateways):
+        number = subsets.mixed(fleet.seed, gateway, 5)
+        found += [subsets.rank(number, fleet.names[n]) <= size / fleet.engines for n in fleet.listed]
+    return worst(found)
+
+
 def moved(before: Any, after: Any) -> int:
     """Pairs of gateway and engine that joined."""
     return int(((after[:len(before)] > 0) & ~(before > 0)).sum())
@@ -239,6 +266,7 @@
             "without": float((held[:, small].sum(axis=1) == 0).mean()),
             "fifth_row": evenness(fleet, numpy.delete(sets, slice(many // 5, 2 * many // 5), axis=0), listed),
             "fifth_stride": evenness(fleet, numpy.delete(sets, slice(0, None, 5), axis=0), listed),
+            "homes": homes(fleet, sets, listed),
             "load_flat": worst(load(fleet, held.astype(float), listed)), "wobble": wobble(fleet, option, size, sets),
             "load_even": worst(load(fleet, sets, listed)), "load_choice": worst(chosen_load(fleet, sets, listed)),
             **churn(fleet, option, size, sets), **cold(fleet, option, size, sets),
@@ -278,6 +306,7 @@
     "load_even": ("load an engine, worst over mean, spread by weight over the set", ""),
     "load_flat": ("load an engine, worst over mean, spread alike over all that is held", ""),
     "load_choice": ("load an engine, worst over mean, the less loaded of two members", ""),
+    "homes": ("engines at which a table group begins, over all gateways", "engines"),
     "added": ("pairs that join as an engine is added, over the mean's", ""),
     "removed": ("pairs that join as an engine is removed, over those it had", ""),
     "gateway": ("pairs that join at others as a gateway is added", "part"),
@@ -339,21 +368,28 @@
                                   fleet := next(turns), sets(fleet, how, size)),
                               repeats=len(fleets), kind="simulated" if key in SIMULATED else "hollow",
                               command=command_said))
+    rows.append(single("subset.ours.unnumbered", "ours: sets an engine, worst over mean, gateways that know no number",
+                       "", "gateways", fleets[0].gateways, [unnumbered(fleet, SIZE) for fleet in fleets], "hollow",
+                       command_said))
     return rows
 
 
 def printed(rows: list[dict[str, Any]]) -> None:
-    """Options side by side, medians over the seeds."""
+    """Options side by side, then the sweep over sizes; medians over the seeds."""
     from rich.console import Console
     from rich.table import Table
-    table = Table("figure", *NAMES)
-    held = {row["key"]: row["points"][0]["values"] for row in rows}
+    table, sweep = Table("figure", *NAMES), Table("figure, by engines wanted in a set", *map(str, SWEEP))
+    held = {row["key"]: row["points"][0]["median"] for row in rows}
     for key, (what, unit) in WHAT.items():
-        if f"subset.all.{key}" not in held:
-            continue
-        table.add_row(f"{what} {f'({unit})' if unit else ''}",
-                      *(f"{median(held[f'subset.{option}.{key}']):.3g}" for option in NAMES))
-    Console(width=190).print(table)
+        if f"subset.all.{key}" in held:
+            table.add_row(f"{what} {f'({unit})' if unit else ''}",
+                          *(f"{held[f'subset.{option}.{key}']:.3g}" for option in NAMES))
+    for row in rows:
+        if len(row["points"]) > 1:
+            sweep.add_row(row["what"], *(f"{point['median']:.3g}" for point in row["points"]))
+    for each in table, sweep:
+        if each.row_count:
+            Console(width=190).print(each)
 
 
 PARTS = {"options": weighed, "processor": lambda fleets, said: weighed(fleets, said, cost), "sizes": swept}
--- a/corkgauge/model/subsets.py
+++ b/corkgauge/model/subsets.py
@@ -52,10 +52,15 @@
     """Deterministic subsetting by rounds: Site Reliability Engineering (Beyer, Jones, Petoff, Murphy 2016), chapter 20.
     Each round of gateways shuffles the list by the round's seed and deals it out in parts of `size`; what is left over
     of a round's list goes to nobody in that round."""
-    listed, parts = sorted(engines), max(len(engines) // size, 1)
-    turn, part = divmod(gateway, parts)
+    turn, part = divmod(gateway, max(len(engines) // size, 1))
+    return sorted(dealt(turn, engines)[part * size:(part + 1) * size])
+
+
+def dealt(turn: int, engines: Sequence[int]) -> list[int]:
+    """The list as it lies in one round of `rounds`."""
+    listed = sorted(engines)
     random.Random(turn).shuffle(listed)
-    return sorted(listed[part * size:(part + 1) * size])
+    return listed
 
 
 def aperture(gateway: int, gateways: int, engines: Sequence[int], size: int) -> list[int]:
