--- a/benchmarks/scale_subset.py
+++ b/benchmarks/scale_subset.py
@@ -23,7 +23,7 @@
 
 ZONES = 0.28, 0.24, 0.20, 0.16, 0.12    # of the engines
 KINDS = 0.85, 0.70, 0.80, 0.60, 0.75    # of each zone's, those of the first kind
-SIZE, UTILISED = 48, 0.6        # of a set; of capacity, before a zone is lost
+SIZE, UTILISED, LIMIT = 48, 0.6, 0.9    # of a set; of capacity that is used, and that is reckoned with
 SIGMA, LONGEST, HOT = 0.7, 4.0, 5.0     # traffic: log-normal, cut there; one gateway in 109 sees five times the mean
 SAFETY = 0.9 * 0.85     # of its part of a cold engine's allowance that a gateway uses, as in control.py
 GROUPS = 20             # of tables, of the engines at which a group begins
@@ -32,8 +32,8 @@
 SWEEP = 16, 24, 32, 48, 64, 96, 128, 192
 WIDER: dict[str, Callable[[Any], Any]] = {
     "alike": lambda demand: numpy.ones_like(demand), "fair": lambda demand: numpy.maximum(1, demand),
-    "twice": lambda demand: numpy.maximum(1, demand / 2)}
-NAMES = "all", "chance", "rendezvous", "rounds", "aperture", "tournament", "ours", "ours_twice"
+    "busy": lambda demand: numpy.array([subsets.busy(each * UTILISED / LIMIT) for each in demand])}
+NAMES = "all", "chance", "rendezvous", "rounds", "aperture", "tournament", "ours_fair", "ours"
 
 
 class Fleet:
@@ -73,7 +73,7 @@
         """The sets of all gateways as a matrix, gateways by engines: 0, or the weight that is sent to it with."""
         listed, gateways = self.listed if listed is None else listed, gateways or self.gateways
         found = numpy.zeros((gateways, len(self.names)))
-        if option in ("tournament", "ours", "ours_twice"):
+        if option in ("tournament", "ours_fair", "ours"):
             found[:, listed] = self._ranked(option, size, listed, gateways)
         elif option == "rendezvous":
             nearest = numpy.argpartition(self.hashes[:gateways, listed], size - 1, axis=1)[:, :size]
@@ -104,7 +104,7 @@
             return ranks <= size / len(listed)
         places = self.by_place(listed)
         bars = subsets.bars(gateways, places, self.classes, size)
-        wider = WIDER["fair" if option == "ours" else "twice"](self.demand[:gateways])
+        wider = WIDER["fair" if option == "ours_fair" else "busy"](self.demand[:gateways])
         held = ranks <= numpy.array([bars[self.place[n]] for n in listed]) * wider[:, None]
         for reach in self.classes:
             able = numpy.array([i for i, n in enumerate(listed) if self.place[n] in reach])
@@ -119,10 +119,10 @@
         names, places = [self.names[n] for n in self.listed], self.by_place(self.listed)
         bars = subsets.bars(self.gateways, places, self.classes, size)
         some = self.chance.sample(range(self.gateways), min(self.gateways, 6))
-        for option in ("rendezvous", "rounds", "tournament", "ours", "ours_twice"):
+        for option in ("rendezvous", "rounds", "tournament", "ours_fair", "ours"):
             made = self.weights(option, size)
             for g in some:
-                wider = float(WIDER["fair" if option == "ours" else "twice"](self.demand)[g])
+                wider = float(WIDER["fair" if option == "ours_fair" else "busy"](self.demand)[g])
                 said = subsets.OPTIONS[option](g, self.gateways, names, size) if option in subsets.OPTIONS else (
                     subsets.ours(g, places, bars, self.classes, wider))
                 if said != sorted(self.names[n] for n in numpy.nonzero(made[g])[0]):
@@ -289,7 +289,7 @@
         build = spent(lambda g: subsets.ours(g, places, bars, fleet.classes))
     else:
         build = spent(lambda g: subsets.OPTIONS[option](g, fleet.gateways, names, size))
-    pair = {"rendezvous": subsets.mixed, "tournament": subsets.rank, "ours": subsets.rank, "ours_twice": subsets.rank}
+    pair = {"rendezvous": subsets.mixed, "tournament": subsets.rank, "ours_fair": subsets.rank, "ours": subsets.rank}
     change = spent(lambda g: [pair[option](g, name) for name in names[:100]]) / 100 if option in pair else build
     return {"build": build, "change": change}
 
--- a/corkgauge/model/subsets.py
+++ b/corkgauge/model/subsets.py
@@ -14,6 +14,7 @@
 WORD = (1 << 64) - 1
 BASE, WHOLE, COVER = 48, 128, 16    # engines in a set; the list that is a set as a whole; gateways for each engine
 LEAST, FEW = 8, 3       # of the engines that a class may use: expected in a set; topped up to
+SEVERAL, BUSIEST, STEP = 1.5, 4.0, 1.4  # parts of capacity where a set begins to grow; times in all; least change
 
 Place = tuple[int, int]     # zone, kind
 
@@ -125,6 +126,17 @@
     return max(base, WHOLE * WHOLE / max(engines, 1), COVER * engines / max(gateways, 1))
 
 
+def busy(asked: float, was: float = 1.0) -> float:
+    """How many times as large a gateway's set is for its own traffic: `asked` is its work over its equal part of the
+    capacity. Danger: a set that follows each swing of traffic is never warm; so it moves by large steps only.
+
+    >>> [busy(asked) for asked in (0.5, 1.5, 2.0, 3.0, 9.0)], busy(2.4, 2.0)
+    ([1.0, 1.0, 1.0, 2.0, 4.0], 2.0)
+    """
+    found = min(max(asked / SEVERAL, 1.0), BUSIEST)
+    return was if 1 / STEP < found / was < STEP else found
+
+
 def bars(gateways: int, places: Mapping[Place, Sequence[int]], classes: Iterable[Iterable[Place]],
          base: float = BASE) -> dict[Place, float]:
     """The threshold of each place (zone, kind), above 0, at most 1: alike everywhere, raised where a class may use so
