--- a/tests/test_subset_options.py
+++ b/tests/test_subset_options.py
@@ -1,10 +1,12 @@
 """The options for a working set of engines: how evenly, how steadily and how nested; each check is seen to fail with a
 variant that lacks what it asks for."""
 
+import json
 from struct import pack
 from zlib import crc32
 
 import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -170,3 +172,24 @@
     for g in range(20):
         usual, wide = (set(ours(g, places, found, [[*places]], wider)) for wider in (1.0, 3.0))
         assert usual < wide and len(wide) > 1.5 * len(usual)
+
+
+def test_the_options_are_weighed_on_a_small_fleet_and_nothing_of_that_is_kept(monkeypatch):
+    from benchmarks import scale_subset
+
+    monkeypatch.setattr(scale_subset, "kept", lambda *_: pytest.fail("a small fleet was kept"))
+    said = CliRunner().invoke(scale_subset.command, ["--quick", "--part", "options", "--json"])
+    rows = {row["key"]: row["points"][0]["median"] for row in json.loads(said.stdout)}
+    assert said.exit_code == 0 and {key.split(".")[1] for key in rows} == {*scale_subset.NAMES}
+    assert rows["subset.ours.evenness"] <= BOUND < rows["subset.rendezvous.evenness"]
+    assert rows["subset.ours.good"] == rows["subset.ours.without"] == 0 < rows["subset.rounds.without"]
+
+
+def test_a_table_that_is_not_what_the_pure_function_says_ends_the_run(monkeypatch):
+    from benchmarks import scale_subset
+
+    fleet = scale_subset.Fleet(20, 128, seed=1)
+    fleet.agree(32)
+    monkeypatch.setattr(fleet, "ranks", 1 - fleet.ranks)
+    with pytest.raises(RuntimeError, match="tournament"):
+        fleet.agree(32)
