A gateway that is told no number takes one from its name, and says so

Cause: seeds may be alike in all files, so a number from the seed alone would still be one number for all.

--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -59,7 +59,7 @@
 def stated_of(post: Post, host: Any) -> Stated:
     """What a configuration states, or the fault in it."""
     try:
-        return Stated(post.settings, host, post.seed)
+        return Stated(post.settings, host, post.seed, post.name)
     except (ValueError, TypeError, AttributeError, KeyError) as problem:
         raise Faulty(f"settings: {problem}") from None
 
@@ -81,6 +81,8 @@
         self.page_line: deque[Errand] = deque()
         self.ended: deque[Submission] = deque()
         self.stated = stated_of(post, self)
+        if post.settings.get("myNumber") is None and self.stated.gateway.gateways > 1:
+            log(f"myNumber is not told: {self.stated.gateway.number}, from the name; sets of engines are less even")
         self.gateway = self.stated.gateway
         self.most_memory = max(self.stated.sizes, default=1e6)
         self.patience = UNTOLD * self.stated.tells
--- a/corkgauge/stated.py
+++ b/corkgauge/stated.py
@@ -4,6 +4,7 @@
 """
 
 from typing import Any
+from zlib import crc32
 
 from corkgauge.control import Gateway
 from corkgauge.interface import IRREVERSIBLE, LABELLED, REDOABLE, Engine, Host, Offering
@@ -14,7 +15,9 @@
 class Stated:
     """What the door of a gateway derives from the settings; the raw ones are not kept."""
 
-    def __init__(self, said: Any, host: Host, seed: int) -> None:
+    def __init__(self, said: Any, host: Host, seed: int, name: str = "") -> None:
+        """`name` is the gateway's own. Danger: gateways that are told no number would all be in turn at cold engines at
+        once, and have one working set; also seeds may be alike. So names stand in."""
         if not isinstance(said, dict):
             raise ValueError("settings: not an object")
         rules, limits = said.get("rules", {}), said.get("limits", {})
@@ -42,8 +45,7 @@
         self.budget = (figure(rules, "extraFloor", 0.0), figure(rules, "extraPerRequest", 0.0),
                        span) if span else None
         self.gateway = Gateway(
-            # Danger: gateways that are told no number would all be in turn at once, and have one working set.
-            host, seed=seed, number=figure(said, "myNumber", seed % 2 ** 20),
+            host, seed=seed, number=figure(said, "myNumber", crc32(b"%d %s" % (seed, name.encode())) % 2 ** 20),
             gateways=figure(said, "instances", 1, 1),
             tick=-(-figure(said, "periodUs", 1000) // 100), offerings=self.offerings,
             cancels=bool(limits.get("cancel")), copies=bool(limits.get("secondCopies")),
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -10,6 +10,7 @@
 from corkgauge import control
 from corkgauge.control import Gateway
 from corkgauge.interface import DRAINING, FULL, GONE, LABELLED, READY, RESET, TIMED_OUT, UNREACHED, Engine
+from corkgauge.model import subsets
 from corkgauge.stated import Stated
 from tests.yard import QUICK, SECOND, STATED_ON_SOCKETS, Yard
 
@@ -264,10 +265,10 @@
 
 def test_gateways_that_are_told_no_number_do_not_share_one_set():
     found = []
-    for seed in 0x3a91c07e55, 0x11d0b77a02, 0x5b6e4f0c9d:
-        said = {**STATED_ON_SOCKETS, "instances": 870}
+    for name in "n1", "n2", "n3":
+        said = {**STATED_ON_SOCKETS, "instances": 870}      # and one seed in all files
         host = Yard(engines=0)
-        gateway = Stated(said, host, seed).gateway
+        gateway = Stated(said, host, 7, name).gateway
         for engine in fleet_engines(900):
             gateway.engine_told(engine, READY, 0)
         gateway.list_told()
@@ -312,3 +313,19 @@
     assert len(held(yard)) > 30
     yard.tell(*yard.engines[1200:1450], state=GONE)
     assert held(yard) == {each.tag for each in yard.engines[1450:]}
+
+
+@pytest.mark.parametrize("block", [2, 8, 64])
+def test_the_module_ranks_as_the_note_says(block):
+    """Written apart: of each block of gateways one lies below 1 / block for both, and between powers of two as many."""
+    gateway = Yard(engines=0).gateway
+
+    def said(number, mark):
+        gateway.number = number
+        return gateway._rank(mark)
+    for n in range(30):
+        for ranked, engine in (said, b"s-%d" % n), (subsets.rank, subsets.mixed(n, 1)):
+            for first in range(0, 256, block):
+                assert sum(ranked(number, engine) < 1 / block for number in range(first, first + block)) == 1
+            for part in 0.7 / block, 0.9 / block:
+                assert abs(sum(ranked(number, engine) <= part for number in range(870)) - 870 * part) <= 3
