Capacity page: made from the kept rows, with a check that holds both against each other

Need: a page of what each role costs at the users' size on which nobody types a figure.

The text is docs/capacity/page.md.in, with figures and tables named by key. What is worked out from several rows has its formula, budget and mechanism in benchmarks/capacity_rows.py; a formula asks for rows by key and is given the size of the fleet, so that the same formulas tell at how many times the size a row passes its budget. A key without a run is shown as "not run" and listed. Ruled out: formulas as text in the template (an evaluator of our own), jinja2 (one more pinned package for a dozen lines).

--check names the first line in which the page is not what the rows give, and what in a row does not follow from its own values: median, fit (by statistics.linear_regression, where the runs use numpy), foretold value, error.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,115 @@
+"""Figures worked out from the kept rows: what each role costs at the users' size, and the factor over its budget.
+
+Owns the users' size, the budgets and every formula of docs/CAPACITY.md. Must never hold a figure that a run gives: a
+formula asks for it by its key, and where no run has given that key yet, what hangs on it is "not run".
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import Any
+
+# The users' size, in their words: what is handed to this project, not measured by it.
+SIZE: dict[str, float] = {
+    "gateways": 870, "engines": 1_800, "statements": 2_530, "fleet_statements": 2_200_000, "connections": 6_670,
+    "fleet_connections": 5_800_000, "regions": 2, "zones": 5, "machines": 3, "primary_changes": 4, "primary_s": 9,
+    "changes": 910, "change_s": 5, "core_percent": 3.3, "memory_mb": 128, "octets": 7_000, "fleet_octets": 6_100_000,
+    "restarts": 540, "machine_failures": 4, "per_database": 1_220, "day": 86_400}
+PEAKS = {"mean": 1, "three": 3, "five": 5}      # "several times the mean", worked out for these
+BEFORE = ".before"      # of a key: as it was before the working set
+
+
+GROW = "gateways", "engines", "fleet_statements", "fleet_connections", "restarts", "machine_failures"
+
+
+class Size(SimpleNamespace):
+    """The users' size with `times` as many workload managers and databases; what each has to do stays."""
+
+    def __init__(self, times: float = 1.0) -> None:
+        super().__init__(**{name: value * (times if name in GROW else 1) for name, value in SIZE.items()})
+
+
+class NotRun(LookupError):
+    """The key that no run has given yet."""
+
+
+@dataclass(frozen=True)
+class Figure:
+    """A value with its unit, its kind (how it was come by) and the keys of the runs that it rests on."""
+
+    value: float
+    unit: str
+    kind: str
+    keys: tuple[str, ...] = ()
+
+
+class Book:
+    """The kept rows, read by key and size. `missing` gathers the keys that were asked for and not there."""
+
+    def __init__(self, rows: dict[str, dict[str, Any]]) -> None:
+        self.rows, self.missing = rows, set[str]()
+
+    def row(self, key: str) -> dict[str, Any]:
+        if key not in self.rows:
+            self.missing.add(key)
+            raise NotRun(key)
+        return self.rows[key]
+
+    def figure(self, key: str, at: float | None = None) -> Figure:
+        """The cost at a size; without one, at the largest that the row tells of. What was measured or checked there
+        goes before what the slope foretells."""
+        row = self.row(key)
+        found = {p["at"]: (p["median"], row["kind"]) for p in row["points"]}
+        if "checked" in row:
+            found[row["checked"]["at"]] = row["checked"]["value"], row["checked"]["kind"]
+        if at is None:
+            at = max([*found, row["foretold"]["at"]] if "foretold" in row else found)
+        if at in found:
+            value, kind = found[at]
+        elif "fit" in row:
+            value, kind = row["fit"]["base"] + row["fit"]["slope"] * at, "foretold"
+        else:
+            raise NotRun(f"{key} at {at:g}")
+        return Figure(value, row["unit"], kind, (key,))
+
+    def slope(self, key: str) -> Figure:
+        """The cost of one more of what the row goes by."""
+        row = self.row(key)
+        if "fit" not in row:
+            raise NotRun(f"{key}: a slope")
+        return Figure(row["fit"]["slope"], f"{row['unit']} for one more", row["kind"], (key,))
+
+    def work(self, of: "Worked", times: float = 1.0) -> Figure:
+        """What a row comes to in a fleet `times` as large. Its kind: of the one figure that it is, unchanged;
+        "foretold" where arithmetic joins what runs gave; "paper" where there was no run."""
+        read: list[Figure] = []
+
+        def ask(key: str, at: float | None = None, slope: bool = False) -> float:
+            # Where the run after the mechanism is missing, the one before it stands in, under its own name.
+            key = key if key in self.rows or key + BEFORE not in self.rows else key + BEFORE
+            read.append(self.slope(key) if slope else self.figure(key, at))
+            return read[-1].value
+
+        value = float(of.formula(ask, Size(times)))
+        kind = "paper" if not read else "foretold"
+        if len(read) == 1 and read[0].value == value:
+            kind = read[0].kind
+        return Figure(value, of.unit, kind, tuple(dict.fromkeys(key for each in read for key in each.keys)))
+
+
+Ask = Callable[..., float]
+
+
+@dataclass(frozen=True)
+class Worked:
+    """One row of the page: `formula` is given `ask(key, at)` and the size of the fleet. `budget` is in the
+    row's unit, None: none was stated. `moment`: rest, day, worst; open: a reading of an open word; ways: a way that was
+    weighed. `mechanism`: what carries the row, and its file."""
+
+    role: str
+    what: str
+    unit: str
+    formula: Callable[[Ask, Size], float]
+    budget: float | None = None
+    moment: str = "day"
+    mechanism: str = "none"
--- /dev/null
+++ b/benchmarks/capacity_rows.py
@@ -0,0 +1,326 @@
+"""The rows of docs/CAPACITY.md that are worked out: role by role, with budget and mechanism.
+
+Owns the formulas. Must never hold a measured figure: what a run gave is asked for by its key (see capacity.py).
+"""
+
+from benchmarks.capacity import PEAKS, SIZE, Ask, Size, Worked
+from corkgauge.net import feed_wire
+from corkgauge.shared import findings
+from corkgauge.works import plan
+
+RATE, DAY = SIZE["statements"], SIZE["day"]
+CORE, MEMORY, OCTETS = (SIZE[name] for name in ("core_percent", "memory_mb", "octets"))
+SERVING, CONTROL, VOTER, HOLDER = "workload manager, serving", "workload manager, control", "voter", "holder of a duty"
+PLANNER, FEED, DATABASE, TOOLS = "planner", "list feed", "database", "operator's tools"
+CHOICE = "working set of engines, `corkgauge/control.py`"
+HUB, CODEC = "the hub's poll, `corkgauge/loop/hub.py`", "frames by hand, `corkgauge/net/`"
+RINGS = "rings that lie empty between requests, `corkgauge/loop/ring.py`"
+RESTART = "restart by hand, `corkgauge/daemon.py` (`Source.reload` names what waits)"
+SWIM = "asking one a period, `corkgauge/fellows/company.py`"
+LEASES = "leases by votes, `corkgauge/duties/`"
+BOOKS = "the fleet's books, `corkgauge/duties/books.py`"
+
+
+def serving(ask: Ask, n: Size, times: float) -> float:
+    """Percent of a core that the decisions take."""
+    return ask("alone.decision.engines", n.engines) * n.statements * times / 10
+
+
+def event(ask: Ask) -> float:
+    """Octets of one engine in an event of the list."""
+    return ask("settings.list.octets", slope=True)
+
+
+def changes_a_day(n: Size) -> float:
+    """Restarts and failures, each told twice (gone, there again)."""
+    return 2 * (n.restarts + n.machine_failures)
+
+
+WORKED: dict[str, Worked] = {
+    # A workload manager, serving.
+    "serving.decision": Worked(
+        SERVING, "processor of a decision before all engines, against one core for all statements", "ms",
+        lambda ask, n: ask("alone.decision.engines", n.engines), 1000 / RATE, "day", CHOICE),
+    "serving.decisions": Worked(
+        SERVING, "decisions, mean traffic", "% of a core", lambda ask, n: serving(ask, n, 1), 100, "day", CHOICE),
+    "serving.decisions.three": Worked(
+        SERVING, "decisions, three times the mean", "% of a core", lambda ask, n: serving(ask, n, PEAKS["three"]), 100,
+        "worst", CHOICE),
+    "serving.decisions.five": Worked(
+        SERVING, "decisions, five times the mean", "% of a core", lambda ask, n: serving(ask, n, PEAKS["five"]), 100,
+        "worst", CHOICE),
+    "serving.statement": Worked(
+        SERVING, "a whole statement on sockets, frames read and written, before all engines", "ms",
+        lambda ask, n: ask("alone.statement.sockets", n.engines), 1000 / RATE, "day", f"{CODEC}; {CHOICE}"),
+    "serving.cores": Worked(
+        SERVING, "whole statements, mean traffic", "% of a core",
+        lambda ask, n: ask("alone.statement.sockets", n.engines) * n.statements / 10, 100, "day", f"{CODEC}; {CHOICE}"),
+    "serving.cores.three": Worked(
+        SERVING, "whole statements, three times the mean", "% of a core",
+        lambda ask, n: ask("alone.statement.sockets", n.engines) * n.statements * PEAKS["three"] / 10, 100, "worst",
+        f"{CODEC}; {CHOICE}"),
+    "serving.turn": Worked(
+        SERVING, "one turn of the hub over all client connections and one link to each engine", "ms",
+        lambda ask, n: ask("alone.turn.descriptors", n.connections + n.engines), 1000 / RATE, "day", HUB),
+    "serving.memory.clients": Worked(
+        SERVING, "client connections, quiet", "MB", lambda ask, n: ask("alone.memory.clients", n.connections) / 1024,
+        MEMORY,
+        "rest", RINGS),
+    "serving.memory.links": Worked(
+        SERVING, "one link to each engine of the list, quiet", "MB",
+        lambda ask, n: ask("alone.memory.links", n.engines) / 1024, MEMORY, "rest", RINGS),
+    "serving.memory.open": Worked(
+        SERVING, "requests open for two seconds at three times the mean", "MB",
+        lambda ask, n: ask("alone.memory.open", 2 * n.statements * PEAKS["three"]) / 1024, MEMORY, "worst", RINGS),
+    "serving.descriptors": Worked(
+        SERVING, "descriptors: clients and a link to each engine; clients get half of `sockets`, links a third",
+        "descriptors", lambda ask, n: max(2 * n.connections, 3 * n.engines), None, "rest",
+        "`limits.sockets`, `corkgauge/net/host.py`"),
+    "serving.change": Worked(
+        SERVING, "changes of the list by restarts and failures, decisions anew with them", "% of a core",
+        lambda ask, n: ask("alone.decision.change", n.engines) * changes_a_day(n) / DAY / 10, CORE, "day", CHOICE),
+    "serving.ready": Worked(
+        SERVING, "start to ready with the whole list, processor", "s",
+        lambda ask, n: ask("alone.ready.engines", n.engines), SIZE["change_s"], "day", "`corkgauge/daemon.py`"),
+    "serving.ready.tenth": Worked(
+        SERVING, "the same with a tenth of a core", "s",
+        lambda ask, n: ask("alone.ready.engines.tenth", n.engines), SIZE["primary_s"], "worst",
+        "`corkgauge/daemon.py`"),
+    # Control of a workload manager, apart from serving.
+    "control.list.memory": Worked(
+        CONTROL, "the list of engines with what is known of each", "MB",
+        lambda ask, n: ask("alone.memory.engines", n.engines) / 1024, MEMORY, "rest",
+        "`corkgauge/interface.py` (`View`)"),
+    "control.list.start": Worked(
+        CONTROL, "the whole list, taken in at a start", "ms", lambda ask, n: ask("alone.list.start", n.engines),
+        SIZE["change_s"] * 1000, "day", "`corkgauge/net/host.py`"),
+    "control.list.day": Worked(
+        CONTROL, "changes of the list by restarts and failures, read and taken in", "% of a core",
+        lambda ask, n: ask("alone.list.change", n.engines) * changes_a_day(n) / DAY / 10, CORE, "day",
+        "events of what changed, `corkgauge/net/feed.py`"),
+    "control.list.octets": Worked(
+        CONTROL, "events of the list by restarts and failures", "octets a second",
+        lambda ask, n: event(ask) * changes_a_day(n) / DAY, OCTETS, "day", "`corkgauge/net/feed.py`"),
+    "control.list.zone": Worked(
+        CONTROL, "the list as a zone of all engines is lost, in one second", "octets a second",
+        lambda ask, n: event(ask) * n.engines / n.zones, OCTETS, "worst", "`corkgauge/net/feed.py`"),
+    "control.restart.processor": Worked(
+        CONTROL, "configuration by restart, all changes of a day: processor", "% of a core",
+        lambda ask, n: ask("settings.restart.processor", n.engines) * n.changes / DAY * 100, CORE, "day", RESTART),
+    "control.restart.unready": Worked(
+        CONTROL, "configuration by restart: serves nobody, part of the day", "%",
+        lambda ask, n: ask("settings.restart.unready", n.engines) * n.changes / DAY * 100, None, "day", RESTART),
+    "control.restart.connections": Worked(
+        CONTROL, "configuration by restart: client connections made anew at all, mean", "a second",
+        lambda ask, n: n.fleet_connections * n.changes / DAY, None, "day", RESTART),
+    "control.change": Worked(
+        CONTROL, "a change in force everywhere by restarts of a tenth at a time, ten after each other", "s",
+        lambda ask, n: 10 * ask("settings.restart.unready", n.engines), SIZE["change_s"], "day", RESTART),
+    "control.change.octets": Worked(
+        CONTROL, "configuration as a whole to each at each change, 20 classes, 1,000 tenants",
+        "octets a second", lambda ask, n: ask("settings.octets.whole") * n.changes / DAY, OCTETS, "day", "none"),
+    "control.change.burst": Worked(
+        CONTROL, "the same within the five seconds", "octets a second",
+        lambda ask, n: ask("settings.octets.whole") / n.change_s, OCTETS, "worst", "none"),
+    "control.change.gossip": Worked(
+        CONTROL, "a change as a delta by gossip, fan-out three, a tenth of all datagrams lost: until all have it", "s",
+        lambda ask, n: ask("settings.gossip.delta.time.f3.loss10", n.gateways), SIZE["change_s"], "day",
+        "none (simulated)"),
+    "control.change.gossip.octets": Worked(
+        CONTROL, "the same: octets of the busiest second of one member", "octets a second",
+        lambda ask, n: ask("settings.gossip.delta.peak.f3.loss10", n.gateways), OCTETS, "day", "none (simulated)"),
+    # A member of the fleet: the datagrams of membership, duties, maintenance and findings.
+    "control.rest.octets": Worked(
+        CONTROL, "datagrams at rest, sent and received, mean", "octets a second",
+        lambda ask, n: ask("fleet.rest.octets", n.gateways), OCTETS, "rest", SWIM),
+    "control.rest.octets.worst": Worked(
+        CONTROL, "datagrams at rest, sent and received, the worst member", "octets a second",
+        lambda ask, n: ask("fleet.rest.octets.worst", n.gateways), OCTETS, "rest", SWIM),
+    "control.rest.datagrams": Worked(
+        CONTROL, "datagrams at rest, sent and received, mean", "a second",
+        lambda ask, n: ask("fleet.rest.datagrams", n.gateways), None, "rest", SWIM),
+    "control.rest.sum": Worked(
+        CONTROL, "octets sent at rest, by all", "octets a second",
+        lambda ask, n: ask("fleet.rest.octets.sum", n.gateways), SIZE["fleet_octets"], "rest", SWIM),
+    "control.rest.processor": Worked(
+        CONTROL, "processor at rest, with the kernel's part, mean", "% of a core",
+        lambda ask, n: ask("fleet.rest.processor", n.gateways), CORE, "rest", SWIM),
+    "control.rest.processor.worst": Worked(
+        CONTROL, "processor at rest, the worst member without a duty", "% of a core",
+        lambda ask, n: ask("fleet.rest.processor.worst", n.gateways), CORE, "rest", SWIM),
+    "control.rest.memory": Worked(
+        CONTROL, "memory of a member, over an empty process", "MB", lambda ask, n: ask("fleet.rest.memory", n.gateways),
+        MEMORY, "rest", SWIM),
+    "control.restarts.octets": Worked(
+        CONTROL, "restarts of a day: what they cost each of the others, mean", "octets a second",
+        lambda ask, n: ask("fleet.restart.octets", n.gateways) * n.restarts / DAY / n.gateways, OCTETS, "day", SWIM),
+    "control.release.octets": Worked(
+        CONTROL, "a release: a tenth restarted within ten seconds, mean of thirty seconds", "octets a second",
+        lambda ask, n: ask("fleet.release.octets", n.gateways), OCTETS, "day", SWIM),
+    "control.release.octets.worst": Worked(
+        CONTROL, "a release: the same, the worst member", "octets a second",
+        lambda ask, n: ask("fleet.release.octets.worst", n.gateways), OCTETS, "worst", SWIM),
+    "control.start.octets": Worked(
+        CONTROL, "all start within a second: first ten seconds, mean", "octets a second",
+        lambda ask, n: ask("fleet.start.octets", n.gateways), OCTETS, "worst", SWIM),
+    "control.start.time": Worked(
+        CONTROL, "all start within a second: until all know all", "s", lambda ask, n: ask("fleet.start.time",
+        n.gateways),
+        None, "worst", SWIM),
+    "control.machine.known": Worked(
+        CONTROL, "a machine lost: until all hold it gone", "s", lambda ask, n: ask("fleet.known.time", n.gateways),
+        None,
+        "day", SWIM),
+    "control.rack.known": Worked(
+        CONTROL, "a rack lost: until all hold it gone", "s", lambda ask, n: ask("fleet.rack.known", n.gateways), None,
+        "worst", SWIM),
+    "control.zone.octets": Worked(
+        CONTROL, "a zone lost: while it becomes known, mean", "octets a second",
+        lambda ask, n: ask("fleet.zone.octets", n.gateways), OCTETS, "worst", SWIM),
+    "control.zone.known": Worked(
+        CONTROL, "a zone lost: until all hold it gone", "s", lambda ask, n: ask("fleet.zone.known", n.gateways), None,
+        "worst", SWIM),
+    "control.zone.release": Worked(
+        CONTROL, "a zone lost during a release: octets of both at once, mean", "octets a second",
+        lambda ask, n: ask("fleet.zone.octets", n.gateways) + ask("fleet.release.octets", n.gateways)
+        - ask("fleet.rest.octets", n.gateways), OCTETS, "worst", SWIM),
+    "control.region.octets": Worked(
+        CONTROL, "a region healed after a cut: first ten seconds, mean", "octets a second",
+        lambda ask, n: ask("fleet.region.octets", n.gateways), OCTETS, "worst", SWIM),
+    "control.region.healed": Worked(
+        CONTROL, "a region healed after a cut: until all know all", "s",
+        lambda ask, n: ask("fleet.region.healed", n.gateways), None, "worst", SWIM),
+    # Voters, holders, planner.
+    "voter.rest.octets": Worked(
+        VOTER, "datagrams at rest, sent and received", "octets a second",
+        lambda ask, n: ask("fleet.rest.octets.voter", n.gateways), SIZE["fleet_octets"] / SIZE["machines"], "rest",
+        LEASES),
+    "voter.rest.datagrams": Worked(
+        VOTER, "datagrams at rest, sent and received", "a second",
+        lambda ask, n: ask("fleet.rest.datagrams.voter", n.gateways), None, "rest", LEASES),
+    "voter.rest.processor": Worked(
+        VOTER, "processor at rest, against one core of a machine set aside", "% of a core",
+        lambda ask, n: ask("fleet.rest.processor.voter", n.gateways), 100, "rest", LEASES),
+    "voter.rest.memory": Worked(
+        VOTER, "memory, over an empty process", "MB", lambda ask, n: ask("fleet.rest.memory.voter", n.gateways), MEMORY,
+        "rest", LEASES),
+    "voter.handover.burst": Worked(
+        VOTER, "datagrams in the worst 100 ms as the holder's machine is lost", "datagrams",
+        lambda ask, n: ask("fleet.handover.lost.burst", n.gateways), None, "worst", LEASES),
+    "voter.handover.planned.burst": Worked(
+        VOTER, "datagrams in the worst 100 ms of a planned hand-over", "datagrams",
+        lambda ask, n: ask("fleet.handover.planned.burst", n.gateways), None, "day", LEASES),
+    "holder.handover.lost": Worked(
+        HOLDER, "its machine lost: nobody holds the duty", "s", lambda ask, n: ask("fleet.handover.lost", n.gateways),
+        SIZE["primary_s"], "worst", LEASES),
+    "holder.handover.planned": Worked(
+        HOLDER, "it ends in order: nobody holds the duty", "s", lambda ask, n: ask("fleet.handover.planned",
+        n.gateways),
+        SIZE["primary_s"], "day", LEASES),
+    "holder.rest.octets": Worked(
+        HOLDER, "datagrams at rest, of the holder that has more", "octets a second",
+        lambda ask, n: ask("fleet.rest.octets.holder", n.gateways), OCTETS, "rest", BOOKS),
+    "holder.rest.processor": Worked(
+        HOLDER, "processor at rest, of the holder that has more", "% of a core",
+        lambda ask, n: ask("fleet.rest.processor.holder", n.gateways), CORE, "rest", BOOKS),
+    "holder.books.missing": Worked(
+        HOLDER, "members missing in an entry of the fleet's books", "members",
+        lambda ask, n: ask("fleet.books.missing", n.gateways), None, "day", BOOKS),
+    "planner.order": Worked(
+        PLANNER, "an order of maintenance over all engines, against a second", "ms of processor",
+        lambda ask, n: ask("fleet.order.engines", n.engines), 1000, "day",
+        "Hall's condition, `corkgauge/works/order.py`"),
+    "planner.units": Worked(
+        PLANNER, "engines and workload managers in one plan, against `MOST_UNITS`", "units",
+        lambda ask, n: n.engines + n.gateways, plan.MOST_UNITS, "day", "none; `corkgauge/works/plan.py` refuses more"),
+    # What the list feed and the databases see.
+    "feed.whole": Worked(
+        FEED, "the whole list as one event, with ids and addresses of a usual length, against the longest line that is "
+        "taken", "octets", lambda ask, n: ask("settings.list.octets", n.engines), feed_wire.LARGEST, "day",
+        "none; `corkgauge/net/feed_wire.py` ends the connection at a longer line"),
+    "feed.whole.long": Worked(
+        FEED, "the same with ids of 36 characters, as a cloud gives them", "octets",
+        lambda ask, n: ask("settings.list.octets.long", n.engines), feed_wire.LARGEST, "day",
+        "none; `corkgauge/net/feed_wire.py` ends the connection at a longer line"),
+    "feed.all": Worked(
+        FEED, "the whole list to all workload managers after a restart of all", "octets",
+        lambda ask, n: ask("settings.list.octets", n.engines) * n.gateways, None, "worst", "none"),
+    "database.links.all": Worked(
+        DATABASE, "links at each, all pairs, one link each", "links", lambda ask, n: n.gateways, None, "rest", "none"),
+    "database.links.set": Worked(
+        DATABASE, "links at the busiest, with the working set", "links",
+        lambda ask, n: ask("subset.ours.links_engine"), None, "rest", CHOICE),
+    "database.links.fleet": Worked(
+        DATABASE, "warm pairs in the fleet, with the working set", "pairs", lambda ask, n: ask("subset.ours.links"),
+        None, "rest", CHOICE),
+    "database.even": Worked(
+        DATABASE, "sets that hold an engine, worst over mean of its zone and kind, with the working set", "times",
+        lambda ask, n: ask("subset.ours.evenness"), 1.25, "rest", CHOICE),
+    "findings.held": Worked(
+        TOOLS, "findings that one witness may have, one an engine, against `MOST_EACH`", "findings",
+        lambda ask, n: n.engines, findings.MOST_EACH, "worst", "`corkgauge/shared/findings.py`"),
+    # Ways in which a change of configuration could reach all.
+    "ways.one.whole": Worked(
+        CONTROL, "one holder sends the whole to each within the five seconds", "octets a second",
+        lambda ask, n: ask("settings.octets.whole") * n.gateways / n.change_s, OCTETS, "ways"),
+    "ways.one.whole.time": Worked(
+        CONTROL, "the same at the rate that control may take", "s",
+        lambda ask, n: ask("settings.octets.whole") * n.gateways / n.octets, SIZE["change_s"], "ways"),
+    "ways.one.delta": Worked(
+        CONTROL, "one holder sends what changed to each within the five seconds", "octets a second",
+        lambda ask, n: ask("settings.octets.delta") * n.gateways / n.change_s, OCTETS, "ways"),
+    "ways.three.whole": Worked(
+        VOTER, "the three machines send the whole to a third of all each, within the five seconds", "octets a second",
+        lambda ask, n: ask("settings.octets.whole") * n.gateways / n.machines / n.change_s,
+        SIZE["fleet_octets"] / SIZE["machines"], "ways"),
+    "ways.three.delta": Worked(
+        VOTER, "the three machines send what changed to a third of all each, within the five seconds",
+        "octets a second", lambda ask, n: ask("settings.octets.delta") * n.gateways / n.machines / n.change_s,
+        SIZE["fleet_octets"] / SIZE["machines"], "ways"),
+    "ways.each.whole": Worked(
+        CONTROL, "each takes in one whole a change, within the five seconds, whoever sends", "octets a second",
+        lambda ask, n: ask("settings.octets.whole") / n.change_s, OCTETS, "ways"),
+    **{f"ways.gossip.{sort}.{what}.f{fanout}.loss{loss}": Worked(
+        CONTROL, f"gossip of {said}, fan-out {fanout}, {loss}% of all datagrams lost: {asked}", unit,
+        lambda ask, n, key=f"settings.gossip.{sort}.{what}.f{fanout}.loss{loss}": ask(key, n.gateways), budget, "ways",
+        "none (`corkgauge/model/dissemination.py`)")
+       for sort, said in (("delta", "what changed"), ("whole", "the whole"))
+       for fanout in (1, 2, 3, 5) for loss in (0, 10, 30)
+       for what, asked, unit, budget in (("time", "until all have it", "s", SIZE["change_s"]),
+                                         ("peak", "busiest second of one member", "octets a second", OCTETS))},
+    # Open words, both readings.
+    "open.zones.all.gateways": Worked(
+        SERVING, "a zone, where five are meant in all: workload managers lost with it", "workload managers",
+        lambda ask, n: n.gateways / n.zones, None, "open"),
+    "open.zones.each.gateways": Worked(
+        SERVING, "a zone, where five are meant in each region: workload managers lost with it", "workload managers",
+        lambda ask, n: n.gateways / n.zones / n.regions, None, "open"),
+    "open.zones.all.load": Worked(
+        SERVING, "load of the others after a zone is lost, five in all, shared by all", "times",
+        lambda ask, n: 1 / (1 - 1 / n.zones), None, "open"),
+    "open.zones.each.load": Worked(
+        SERVING, "load of the others after a zone is lost, five in each region, shared by all", "times",
+        lambda ask, n: 1 / (1 - 1 / n.zones / n.regions), None, "open"),
+    "open.zones.all.region": Worked(
+        SERVING, "the same within the smaller region alone, five in all (two there, three in the other), regions cut",
+        "times", lambda ask, n: 1 / (1 - 1 / (n.zones // n.regions)), None, "open"),
+    "open.zones.each.region": Worked(
+        SERVING, "the same within a region alone, five in each, regions cut", "times",
+        lambda ask, n: 1 / (1 - 1 / n.zones), None, "open"),
+    "open.primary.holder": Worked(
+        HOLDER, "primary = who holds a duty of ours: hand-over with all candidates", "s",
+        lambda ask, n: ask("fleet.handover.lost", n.gateways), SIZE["primary_s"], "open", "`corkgauge/duties/`"),
+    "open.primary.database": Worked(
+        FEED, "primary = which database of a group takes writes, as the list tells it: octets to all at each change",
+        "octets", lambda ask, n: 2 * event(ask) * n.gateways, None, "open", "`corkgauge/net/feed.py`"),
+    "open.memory.control": Worked(
+        CONTROL, "128 MB for control alone: the list", "MB",
+        lambda ask, n: ask("alone.memory.engines", n.engines) / 1024, MEMORY, "open"),
+    "open.memory.clients": Worked(
+        CONTROL, "128 MB with clients' buffers, connections quiet: the list, links, clients", "MB",
+        lambda ask, n: (ask("alone.memory.engines", n.engines) + ask("alone.memory.links", n.engines)
+                     + ask("alone.memory.clients", n.connections)) / 1024, MEMORY, "open"),
+    "open.memory.resident": Worked(
+        CONTROL, "128 MB for the whole process: resident as it is ready, nobody there yet", "MB",
+        lambda ask, n: ask("alone.memory.serve", n.engines), MEMORY, "open"),
+}
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,178 @@
+"""The capacity page against the kept rows, and the frame that measures them."""
+
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from benchmarks import scale_page, scaling
+from benchmarks.capacity import Book
+from benchmarks.scale import main
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+# The page.
+
+def copied(tmp_path):
+    """The rows, the text and the page, on a copy."""
+    shutil.copytree(scaling.HOME, tmp_path / "capacity")
+    shutil.copy(scaling.HOME.parent / "CAPACITY.md", tmp_path)
+    return tmp_path / "capacity", tmp_path / "CAPACITY.md"
+
+
+def test_page_and_rows_agree():
+    assert scale_page.checked(scaling.HOME, scaling.HOME.parent / "CAPACITY.md") == ""
+
+
+def test_a_figure_that_is_edited_on_the_page_is_found(tmp_path):
+    home, page = copied(tmp_path)
+    lines = page.read_text().splitlines()
+    at, line = next((n, line) for n, line in enumerate(lines) if line.startswith("|") and "(paper)" in line)
+    figure = next(word for word in line.split() if word[0].isdigit())
+    lines[at] = line.replace(figure, "9" + figure, 1)
+    page.write_text("\n".join(lines) + "\n")
+    ran = CliRunner().invoke(scale_page.command, ["--check", "--home", str(home), "--page", str(page)])
+    assert ran.exit_code == 1
+    assert f"line {at + 1}:" in scale_page.checked(home, page)
+
+
+ROW = {"key": "alone.decision.engines", "what": "a decision", "unit": "ms", "by": "engines", "kind": "measured",
+       "points": [{"at": n, "values": [n - 1.0, n, n + 1.0], "median": n, "least": n - 1.0, "most": n + 1.0}
+                  for n in (10.0, 100.0, 200.0, 400.0)],
+       "fit": {"base": 0.0, "slope": 1.0, "exponent": 1.0, "r2": 1.0}, "command": "",
+       "foretold": {"at": 1800, "value": 1800.0},
+       "checked": {"at": 1800, "value": 1500.0, "kind": "hollow", "error": 0.2}}
+
+
+@pytest.mark.parametrize("path, value", [
+    (("points", 1, "median"), 101.0), (("points", 1, "least"), 98.0), (("points", 3, "most"), 400.0),
+    (("points", 2, "values"), [199.0, 201.0, 201.0]), (("fit", "slope"), 0.9), (("fit", "base"), 1.0),
+    (("foretold", "value"), 1700.0), (("checked", "value"), 1600.0), (("checked", "error"), 0.1),
+    (("kind",), "guessed")])
+def test_a_figure_that_is_edited_in_a_row_is_found(path, value):
+    row = json.loads(json.dumps(ROW))
+    assert scale_page.wrong(row) == ""
+    inner = row
+    for step in path[:-1]:
+        inner = inner[step]
+    inner[path[-1]] = value
+    assert scale_page.wrong(row).startswith("alone.decision.engines: ")
+
+
+@pytest.mark.parametrize("tag, shown", [
+    ("{{alone.decision.engines}}", "1,500 ms (hollow)"), ("{{alone.decision.engines@100}}", "100 ms (measured)"),
+    ("{{alone.decision.engines@3600}}", "3,600 ms (foretold)"), ("{{alone.decision.engines:bare}}", "1,500"),
+    ("{{alone.decision.engines:error}}", "+20%"), ("{{alone.decision.engines:exponent}}", "1.00"),
+    ("{{alone.decision.engines:slope}}", "1 ms for one more (measured)"), ("{{size.engines}}", "1,800"),
+    ("{{alone.never}}", "not run"), ("{{alone.never:error}}", "not run"), ("{{worked.serving.turn}}", "not run"),
+    ("{{worked.serving.decision}}", "1,500 ms (hollow)"), ("{{worked.serving.decision:factor}}", "3,800"),
+    ("{{worked.serving.decisions}}", "380,000% of a core (foretold)"),
+    ("{{worked.open.zones.all.gateways}}", "174 workload managers (paper)")])
+def test_a_figure_is_named_by_key_with_its_kind_and_never_invented(tag, shown):
+    made = scale_page.Page({ROW["key"]: {**ROW, "part": "alone"}}).made(f"said: {tag}.\n")
+    assert made.splitlines()[-1] == f"said: {shown}."
+
+
+@pytest.mark.parametrize("tag", ["{{size.nothing}}", "{{worked.nothing}}", "{{table nothing}}", "{{table roles never}}",
+                                 "{{alone.decision.engines:nothing}}", "{{worked.open.zones.all.gateways:factor}}"])
+def test_a_text_that_names_what_cannot_be_is_refused(tag, tmp_path):
+    (tmp_path / "page.md.in").write_text(tag)
+    (tmp_path / "alone.json").write_text(json.dumps({"part": "alone", "rows": [ROW]}))
+    ran = CliRunner().invoke(scale_page.command, ["--home", str(tmp_path), "--page", str(tmp_path / "page.md")])
+    assert ran.exit_code == 2 and not (tmp_path / "page.md").exists()
+
+
+def test_what_is_missing_is_told_last_whatever_asked_for_it():
+    made = scale_page.Page({}).made("{{table missing}}\n{{alone.never}}\n")
+    assert "`alone.never`" in made and "`alone.decision.engines`" in made
+
+
+def test_a_run_before_the_mechanism_stands_in_under_its_own_name():
+    page = scale_page.Page({ROW["key"] + ".before": {**ROW, "part": "alone", "key": ROW["key"] + ".before"}})
+    assert page.worked["serving.decision"].keys == ("alone.decision.engines.before",)
+    assert page.named("alone.decision.engines") == "not run"
+
+
+def test_a_wrong_factor_of_unit_is_not_hidden_by_the_largest_size():
+    row = {**ROW, "foretold": {"at": 50, "value": 50.0}}
+    row.pop("checked")
+    assert Book({"k": row}).figure("k").value == 400.0      # the largest size there is, not the one foretold
+
+
+# The frame.
+
+@pytest.mark.parametrize("processes, memory, what", [
+    (scaling.MOST_PROCESSES + 1, 1, "processes"), (1, 1e9, "MB"), (scaling.MOST_PROCESSES, 1, "")])
+def test_a_trial_that_is_too_large_is_refused_beforehand(processes, memory, what):
+    if not what:
+        return scaling.bounded(processes, memory)
+    with pytest.raises(scaling.TooLarge, match=what):
+        scaling.bounded(processes, memory)
+
+
+def test_a_slope_foretells_full_size_and_tells_its_error():
+    row = scaling.slope("k", "what", "ms", "engines", [10, 20, 50, 100], lambda n: 3 + 0.5 * n, full=1_000,
+                        check=lambda n: 400.0)
+    assert row["foretold"]["value"] == pytest.approx(503) and row["checked"]["error"] == pytest.approx(103 / 400)
+    assert row["fit"]["slope"] == pytest.approx(0.5) and row["fit"]["r2"] == pytest.approx(1)
+    assert scale_page.wrong(row) == ""
+
+
+@pytest.mark.parametrize("cost, exponent", [(lambda n: 7.0, 0), (lambda n: 2.0 * n, 1), (lambda n: n * n / 9, 2)])
+def test_the_exponent_tells_flat_from_linear(cost, exponent):
+    fit = scaling.fitted([(n, cost(n)) for n in (10, 100, 1_000, 10_000)])
+    assert fit["exponent"] == pytest.approx(exponent, abs=0.01)
+
+
+def test_rows_of_other_keys_stay_as_a_part_is_measured_in_several_runs(tmp_path):
+    scaling.kept("part", [scaling.single("part.one", "w", "s", "n", 1, [3, 1, 2], "paper")], tmp_path)
+    scaling.kept("part", [scaling.single("part.two", "w", "s", "n", 1, [5], "paper")], tmp_path)
+    scaling.kept("part", [scaling.single("part.one", "w", "s", "n", 1, [7], "paper")], tmp_path)
+    rows = scaling.read(tmp_path)
+    assert {key: row["points"][0]["median"] for key, row in rows.items()} == {"part.one": 7, "part.two": 5}
+    assert all(row["part"] == "part" for row in rows.values())
+
+
+INTERRUPTED = """
+import sys
+from pathlib import Path
+from benchmarks import scaling
+rows = [scaling.single("k%d" % n, "w" * 1000, "s", "n", 1, [n], "paper") for n in range(3000)]
+print("begun", flush=True)
+while True:
+    scaling.kept("part", rows, Path(sys.argv[1]))
+"""
+
+
+@pytest.mark.parametrize("sign", [signal.SIGINT, signal.SIGKILL])
+def test_an_interrupt_leaves_the_rows_whole(sign, tmp_path):
+    """It is ended while it writes without a pause: what lies there is one whole writing or none."""
+    scaling.kept("part", [scaling.single("first", "w", "s", "n", 1, [1], "paper")], tmp_path)
+    ran = subprocess.Popen([sys.executable, "-c", INTERRUPTED, str(tmp_path)], cwd=ROOT, stdin=subprocess.DEVNULL,
+                           stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
+                           env={**os.environ, "PYTHONPATH": str(ROOT)})
+    try:
+        assert ran.stdout.readline() == b"begun\n"
+        while not (tmp_path / "part.new").exists() and ran.poll() is None:
+            time.sleep(0)       # until it is in the midst of a writing
+        ran.send_signal(sign)
+        ran.wait(20)
+    finally:
+        ran.kill()
+        ran.stdout.close()
+    rows = scaling.read(tmp_path)
+    assert len(rows) in (1, 3001) and "first" in rows
+
+
+@pytest.mark.parametrize("role", ["page"])
+def test_each_role_helps_with_an_example(role):
+    ran = CliRunner().invoke(main, [role, "--help"])
+    assert ran.exit_code == 0 and "Example: python benchmarks/scale.py " + role in ran.output
