Scale, configuration: what a change costs by restart, how large it is, and the ways to all

Found on the way (--rows sizes): the feed's reader takes a whole list of 1,710 engines in one event (ids of 8 characters), 1,440 with ids of 36; beyond it the connection ends, so 1,800 do not come through.

--- a/benchmarks/capacity_rows.py
+++ b/benchmarks/capacity_rows.py
@@ -4,7 +4,8 @@
 """
 
 from benchmarks.capacity import PEAKS, SIZE, Ask, Size, Worked
-from corkgauge.net import feed_wire
+from corkgauge.loop.hub import SECOND
+from corkgauge.net import feed_wire, frames
 from corkgauge.shared import findings
 from corkgauge.works import plan
 
@@ -17,6 +18,7 @@
 RINGS = "rings that lie empty between requests, `corkgauge/loop/ring.py`"
 RESTART = "restart by hand, `corkgauge/daemon.py` (`Source.reload` names what waits)"
 SWIM = "asking one a period, `corkgauge/fellows/company.py`"
+FINDINGS = "findings of a witness, the last of each, `corkgauge/shared/findings.py`"
 LEASES = "leases by votes, `corkgauge/duties/`"
 BOOKS = "the fleet's books, `corkgauge/duties/books.py`"
 
@@ -83,7 +85,7 @@
         SERVING, "start to ready with the whole list, processor", "s",
         lambda ask, n: ask("alone.ready.engines", n.engines), SIZE["change_s"], "day", "`corkgauge/daemon.py`"),
     "serving.ready.tenth": Worked(
-        SERVING, "the same with a tenth of a core", "s",
+        SERVING, "start to ready with the whole list, with a tenth of a core", "s",
         lambda ask, n: ask("alone.ready.engines.tenth", n.engines), SIZE["primary_s"], "worst",
         "`corkgauge/daemon.py`"),
     # Control of a workload manager, apart from serving.
@@ -102,14 +104,18 @@
         CONTROL, "events of the list by restarts and failures", "octets a second",
         lambda ask, n: event(ask) * changes_a_day(n) / DAY, OCTETS, "day", "`corkgauge/net/feed.py`"),
     "control.list.zone": Worked(
-        CONTROL, "the list as a zone of all engines is lost, in one second", "octets a second",
-        lambda ask, n: event(ask) * n.engines / n.zones, OCTETS, "worst", "`corkgauge/net/feed.py`"),
+        CONTROL, "the list as a zone of all engines is lost and told within ten seconds", "octets a second",
+        lambda ask, n: event(ask) * n.engines / n.zones / 10, OCTETS, "worst", "`corkgauge/net/feed.py`"),
     "control.restart.processor": Worked(
         CONTROL, "configuration by restart, all changes of a day: processor", "% of a core",
         lambda ask, n: ask("settings.restart.processor", n.engines) * n.changes / DAY * 100, CORE, "day", RESTART),
     "control.restart.unready": Worked(
         CONTROL, "configuration by restart: serves nobody, part of the day", "%",
         lambda ask, n: ask("settings.restart.unready", n.engines) * n.changes / DAY * 100, None, "day", RESTART),
+    "control.restart.drain": Worked(
+        CONTROL, "configuration by restart: serves nobody new, while what is open may take its time", "s",
+        lambda ask, n: ask("settings.restart.unready", n.engines) + frames.MOST_EXPIRY / SECOND, SIZE["change_s"],
+        "day", RESTART),
     "control.restart.connections": Worked(
         CONTROL, "configuration by restart: client connections made anew at all, mean", "a second",
         lambda ask, n: n.fleet_connections * n.changes / DAY, None, "day", RESTART),
@@ -120,15 +126,16 @@
         CONTROL, "configuration as a whole to each at each change, 20 classes, 1,000 tenants",
         "octets a second", lambda ask, n: ask("settings.octets.whole") * n.changes / DAY, OCTETS, "day", "none"),
     "control.change.burst": Worked(
-        CONTROL, "the same within the five seconds", "octets a second",
+        CONTROL, "configuration as a whole to each within the five seconds", "octets a second",
         lambda ask, n: ask("settings.octets.whole") / n.change_s, OCTETS, "worst", "none"),
     "control.change.gossip": Worked(
         CONTROL, "a change as a delta by gossip, fan-out three, a tenth of all datagrams lost: until all have it", "s",
-        lambda ask, n: ask("settings.gossip.delta.time.f3.loss10", n.gateways), SIZE["change_s"], "day",
+        lambda ask, n: ask("settings.gossip.delta.time.f3.loss10", n.gateways), SIZE["change_s"], "ways",
         "none (simulated)"),
     "control.change.gossip.octets": Worked(
-        CONTROL, "the same: octets of the busiest second of one member", "octets a second",
-        lambda ask, n: ask("settings.gossip.delta.peak.f3.loss10", n.gateways), OCTETS, "day", "none (simulated)"),
+        CONTROL, "a change as a delta by gossip, fan-out three, a tenth lost: busiest second of one member",
+        "octets a second",
+        lambda ask, n: ask("settings.gossip.delta.peak.f3.loss10", n.gateways), OCTETS, "ways", "none (simulated)"),
     # A member of the fleet: the datagrams of membership, duties, maintenance and findings.
     "control.rest.octets": Worked(
         CONTROL, "datagrams at rest, sent and received, mean", "octets a second",
@@ -158,7 +165,7 @@
         CONTROL, "a release: a tenth restarted within ten seconds, mean of thirty seconds", "octets a second",
         lambda ask, n: ask("fleet.release.octets", n.gateways), OCTETS, "day", SWIM),
     "control.release.octets.worst": Worked(
-        CONTROL, "a release: the same, the worst member", "octets a second",
+        CONTROL, "a release: a tenth restarted within ten seconds, the worst member", "octets a second",
         lambda ask, n: ask("fleet.release.octets.worst", n.gateways), OCTETS, "worst", SWIM),
     "control.start.octets": Worked(
         CONTROL, "all start within a second: first ten seconds, mean", "octets a second",
@@ -190,6 +197,18 @@
     "control.region.healed": Worked(
         CONTROL, "a region healed after a cut: until all know all", "s",
         lambda ask, n: ask("fleet.region.healed", n.gateways), None, "worst", SWIM),
+    "control.findings.memory": Worked(
+        CONTROL, "findings of twenty others on every engine", "MB",
+        lambda ask, n: ask("fleet.findings.engines", n.engines), MEMORY, "worst", FINDINGS),
+    "control.findings.forget": Worked(
+        CONTROL, "findings of twenty others on every engine: looks for old ones, four a second", "% of a core",
+        lambda ask, n: ask("fleet.findings.forget", n.engines) * 4 / 10, CORE, "worst", FINDINGS),
+    "control.findings.digest": Worked(
+        CONTROL, "findings of twenty others on every engine: comparisons, one in 1.5 s", "% of a core",
+        lambda ask, n: ask("fleet.findings.digest", n.engines) / 1.5 / 10, CORE, "worst", FINDINGS),
+    "control.findings.merge": Worked(
+        CONTROL, "findings of twenty others on every engine: heard a first time, all",
+        "ms of processor", lambda ask, n: ask("fleet.findings.merge", n.engines), None, "worst", FINDINGS),
     # Voters, holders, planner.
     "voter.rest.octets": Worked(
         VOTER, "datagrams at rest, sent and received", "octets a second",
@@ -234,14 +253,12 @@
         PLANNER, "engines and workload managers in one plan, against `MOST_UNITS`", "units",
         lambda ask, n: n.engines + n.gateways, plan.MOST_UNITS, "day", "none; `corkgauge/works/plan.py` refuses more"),
     # What the list feed and the databases see.
-    "feed.whole": Worked(
-        FEED, "the whole list as one event, with ids and addresses of a usual length, against the longest line that is "
-        "taken", "octets", lambda ask, n: ask("settings.list.octets", n.engines), feed_wire.LARGEST, "day",
-        "none; `corkgauge/net/feed_wire.py` ends the connection at a longer line"),
-    "feed.whole.long": Worked(
-        FEED, "the same with ids of 36 characters, as a cloud gives them", "octets",
-        lambda ask, n: ask("settings.list.octets.long", n.engines), feed_wire.LARGEST, "day",
-        "none; `corkgauge/net/feed_wire.py` ends the connection at a longer line"),
+    **{f"feed.whole{name}": Worked(
+        FEED, f"the whole list as one event, {said}, against the longest line that is taken", "octets",
+        lambda ask, n, key="settings.list.octets" + name: ask(key, n.engines), feed_wire.LARGEST, "day",
+        "none; `corkgauge/net/feed_wire.py` ends the connection at a longer line, and serves on by what it knew")
+       for name, said in (("", "ids of 8 characters"), (".long", "ids of 36 characters, as a cloud gives them"),
+                          (".compact", "ids of 8 characters, JSON without spaces"))},
     "feed.all": Worked(
         FEED, "the whole list to all workload managers after a restart of all", "octets",
         lambda ask, n: ask("settings.list.octets", n.engines) * n.gateways, None, "worst", "none"),
@@ -264,7 +281,7 @@
         CONTROL, "one holder sends the whole to each within the five seconds", "octets a second",
         lambda ask, n: ask("settings.octets.whole") * n.gateways / n.change_s, OCTETS, "ways"),
     "ways.one.whole.time": Worked(
-        CONTROL, "the same at the rate that control may take", "s",
+        CONTROL, "one holder sends the whole to each at the rate that control may take", "s",
         lambda ask, n: ask("settings.octets.whole") * n.gateways / n.octets, SIZE["change_s"], "ways"),
     "ways.one.delta": Worked(
         CONTROL, "one holder sends what changed to each within the five seconds", "octets a second",
@@ -280,14 +297,6 @@
     "ways.each.whole": Worked(
         CONTROL, "each takes in one whole a change, within the five seconds, whoever sends", "octets a second",
         lambda ask, n: ask("settings.octets.whole") / n.change_s, OCTETS, "ways"),
-    **{f"ways.gossip.{sort}.{what}.f{fanout}.loss{loss}": Worked(
-        CONTROL, f"gossip of {said}, fan-out {fanout}, {loss}% of all datagrams lost: {asked}", unit,
-        lambda ask, n, key=f"settings.gossip.{sort}.{what}.f{fanout}.loss{loss}": ask(key, n.gateways), budget, "ways",
-        "none (`corkgauge/model/dissemination.py`)")
-       for sort, said in (("delta", "what changed"), ("whole", "the whole"))
-       for fanout in (1, 2, 3, 5) for loss in (0, 10, 30)
-       for what, asked, unit, budget in (("time", "until all have it", "s", SIZE["change_s"]),
-                                         ("peak", "busiest second of one member", "octets a second", OCTETS))},
     # Open words, both readings.
     "open.zones.all.gateways": Worked(
         SERVING, "a zone, where five are meant in all: workload managers lost with it", "workload managers",
@@ -302,10 +311,10 @@
         SERVING, "load of the others after a zone is lost, five in each region, shared by all", "times",
         lambda ask, n: 1 / (1 - 1 / n.zones / n.regions), None, "open"),
     "open.zones.all.region": Worked(
-        SERVING, "the same within the smaller region alone, five in all (two there, three in the other), regions cut",
-        "times", lambda ask, n: 1 / (1 - 1 / (n.zones // n.regions)), None, "open"),
+        SERVING, "load of the others within the smaller region alone, five in all (two there), regions cut", "times",
+        lambda ask, n: 1 / (1 - 1 / (n.zones // n.regions)), None, "open"),
     "open.zones.each.region": Worked(
-        SERVING, "the same within a region alone, five in each, regions cut", "times",
+        SERVING, "load of the others within a region alone, five in each, regions cut", "times",
         lambda ask, n: 1 / (1 - 1 / n.zones), None, "open"),
     "open.primary.holder": Worked(
         HOLDER, "primary = who holds a duty of ours: hand-over with all candidates", "s",
--- a/benchmarks/scale_page.py
+++ b/benchmarks/scale_page.py
@@ -6,8 +6,8 @@
 In the text: {{size.NAME}} a figure of the users' size as they gave it; {{KEY}} a figure with unit and kind, {{KEY@400}}
 at a size, {{KEY:bare}} the number alone, {{KEY:slope}}, {{KEY:exponent}}, {{KEY:error}} of what was foretold;
 {{worked.NAME}} and {{worked.NAME:factor}} what is worked out (benchmarks/capacity_rows.py). On a line of its own:
-{{table roles MOMENT}}, {{table over}}, {{table grown}}, {{table slopes PREFIX}}, {{table options PREFIX OPTION...}},
-{{table missing}}.
+{{table roles MOMENT}}, {{table over}}, {{table grown}}, {{table slopes PREFIX...}},
+{{table options PREFIX OPTION...}}, {{table gossip LOSS...}}, {{table missing}}.
 """
 
 import json
@@ -21,8 +21,9 @@
 
 import click
 
-from benchmarks.capacity import SIZE, Book, Figure, NotRun
-from benchmarks.capacity_rows import WORKED
+from benchmarks.capacity import BEFORE, SIZE, Book, Figure, NotRun, Worked
+from benchmarks.capacity_rows import CHOICE, WORKED
+from benchmarks.scale_settings import FANOUTS
 from benchmarks.scaling import HOME, KINDS, read
 
 NOT_RUN = "not run"
@@ -49,9 +50,12 @@
     return text.rstrip("0").rstrip(".") if "." in text else text
 
 
+def with_unit(value: float, unit: str) -> str:
+    return short(value) + (unit if unit.startswith("%") else f" {unit}")
+
+
 def said(figure: Figure) -> str:
-    unit = figure.unit if figure.unit.startswith("%") else f" {figure.unit}"
-    return f"{short(figure.value)}{unit} ({figure.kind})"
+    return f"{with_unit(figure.value, figure.unit)} ({figure.kind})"
 
 
 class Page:
@@ -80,14 +84,14 @@
         """What stands in place of a tag."""
         if tag.startswith("table "):
             name, *rest = tag.split()[1:]
-            if name not in ("roles", "over", "slopes", "options", "grown"):
+            if name not in ("roles", "over", "slopes", "options", "grown", "gossip"):
                 raise Unknown(f"{{{{{tag}}}}}: no such table")
             return getattr(self, name)(*rest)
         name, _, form = tag.partition(":")
         if name.startswith("size."):
             if name[5:] not in SIZE:
                 raise Unknown(f"{{{{{tag}}}}}: no such figure of the users' size")
-            return f"{SIZE[name[5:]]:,g}"
+            return f"{SIZE[name[5:]]:,}"
         if name.startswith("worked."):
             return self.named_worked(name[7:], form, tag)
         key, _, at = name.partition("@")
@@ -127,8 +131,8 @@
             if each.moment == moment:
                 figure = self.worked[name]
                 rows.append([each.role, each.what, said(figure) if figure else NOT_RUN, self.runs(figure),
-                             f"{short(each.budget)} {each.unit}" if each.budget is not None else "-",
-                             self.factor(name), each.mechanism])
+                             with_unit(each.budget, each.unit) if each.budget is not None else "-",
+                             self.factor(name), self.carries(each, figure)])
         if not rows:
             raise Unknown(f"{{{{table roles {moment}}}}}: no such rows")
         return table(["role", "what", "at the users' size", "worked out from", "budget", "over budget by",
@@ -142,21 +146,32 @@
             f" ({short(self.book.rows[key]['fit']['slope'])} a unit of {self.book.rows[key]['by']})"
             if "fit" in self.book.rows[key] else "") for key in figure.keys)
 
+    @staticmethod
+    def carries(of: Worked, figure: Figure | None) -> str:
+        """The mechanism; a figure of a run before the working set does not have that yet."""
+        if figure and any(key.endswith(BEFORE) for key in figure.keys):
+            return of.mechanism.replace(CHOICE, f"{CHOICE} (not in this run)")
+        return of.mechanism
+
     def factor(self, name: str) -> str:
         figure, budget = self.worked[name], WORKED[name].budget
         return "-" if budget is None else NOT_RUN if figure is None else short(figure.value / budget)
 
     def over(self) -> str:
-        """Every row with a budget, the farthest over it first; what has not run stands last."""
-        ranked = sorted((-(figure.value / each.budget) if (figure := self.worked[name]) else 1.0, name)
-                        for name, each in WORKED.items() if each.budget is not None and each.moment not in ASIDE)
-        rows = []
-        for factor, name in ranked:
-            each, figure = WORKED[name], self.worked[name]
-            verdict = "**over**" if -factor > 1 else "close" if -factor > TIGHT else "within"
-            rows.append([verdict if figure else NOT_RUN, self.factor(name), each.role, each.what,
-                         said(figure) if figure else NOT_RUN, f"{short(each.budget)} {each.unit}", each.mechanism])
-        return table(["", "factor", "role", "what", "figure", "budget", "carried by"], rows)
+        """Every row with a budget, the farthest over it first; what has not run is named below."""
+        rows, unknown = [], []
+        for name, each in WORKED.items():
+            if each.budget is not None and each.moment not in ASIDE:
+                if (figure := self.worked[name]) is None:
+                    unknown.append(f"{each.role}: {each.what}")
+                    continue
+                factor = figure.value / each.budget
+                verdict = "**over**" if factor > 1 else "close" if factor > TIGHT else "within"
+                rows.append((-factor, [verdict, short(factor), each.role, each.what, said(figure),
+                                       with_unit(each.budget, each.unit), self.carries(each, figure)]))
+        made = table(["", "factor", "role", "what", "figure", "budget", "carried by"],
+                     [row for _, row in sorted(rows, key=lambda each: each[0])])
+        return made + (f"\n\nWith a budget, and {NOT_RUN}: {'; '.join(unknown)}." if unknown else "")
 
     def grown(self) -> str:
         """For every row within its budget: how many times as many workload managers and databases pass it."""
@@ -176,10 +191,22 @@
         heads = ["times", "workload managers and databases", "role", "what passes its budget", "carried by"]
         return (table(heads, rows) if rows else NOT_RUN) + f"\n\n{rest}".rstrip()
 
-    def slopes(self, prefix: str) -> str:
-        """Every kept row of a part."""
+    def gossip(self, *losses: str) -> str:
+        """A change spread by gossip, by what is sent and fan-out, at the largest number of members that was played."""
+        rows = []
+        for sort in "delta", "whole":
+            for fanout in FANOUTS:
+                ends = [f"f{fanout}.loss{loss}" for loss in losses]
+                named = [self.named(f"settings.gossip.{sort}.{what}.{end}:bare")
+                         for end in ends for what in ("time", "peak", "mean")]
+                rows.append([sort, str(fanout), *named])
+        return table(["sent", "fan-out", *(f"{loss}% lost: {what}" for loss in losses for what in (
+            "s until all have it", "octets a second, busiest", "octets each, mean"))], rows)
+
+    def slopes(self, *prefixes: str) -> str:
+        """Every kept row of these parts."""
         rows = []
-        for key in sorted(key for key in self.book.rows if key.startswith(prefix)):
+        for key in sorted(key for key in self.book.rows if key.startswith(prefixes)):
             row = self.book.rows[key]
             points, fit, checked = row["points"], row.get("fit"), row.get("checked")
             rows.append([
@@ -192,8 +219,8 @@
                 f"{short(checked['value'])} ({checked['kind']}), {checked['error']:+.0%}" if checked else "-",
                 row["kind"]])
         if not rows:
-            self.book.missing.add(prefix)
-            return f"{NOT_RUN}: nothing of `{prefix}` was kept."
+            self.book.missing.update(prefixes)
+            return f"{NOT_RUN}: nothing of `{', '.join(prefixes)}` was kept."
         return table(["key", "what", "unit", "by", "size: median (least to most)", "slope of one more", "foretold",
                       "found there, error of the foretelling", "kind"], rows)
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,4 +1,4 @@
-"""The capacity page against the kept rows, and the frame that measures them."""
+"""The capacity page against the kept rows, the ways of a configuration, and the frame that measures them."""
 
 import json
 import os
@@ -12,9 +12,13 @@
 import pytest
 from click.testing import CliRunner
 
-from benchmarks import scale_page, scaling
+from benchmarks import scale_page, scale_settings, scaling
 from benchmarks.capacity import Book
 from benchmarks.scale import main
+from corkgauge.configuration import Post
+from corkgauge.loop.hub import SECOND
+from corkgauge.model import dissemination
+from corkgauge.net.host import Aside, stated_of
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -107,6 +111,71 @@
     assert Book({"k": row}).figure("k").value == 400.0      # the largest size there is, not the one foretold
 
 
+def page_of(**kept):
+    """Of rows of one size and value each."""
+    return scale_page.Page({key: {**scaling.single(key, f"{key}: what", "u", "n", at, [value], "hollow"), "part": "p"}
+                            for key, (at, value) in kept.items()})
+
+
+def test_what_is_over_budget_comes_first_and_what_has_not_run_is_named():
+    made = page_of(**{"fleet.handover.lost": (870, 18.0), "fleet.rest.octets": (870, 3_600),
+                      "fleet.rest.processor": (870, 0.033)}).over()
+    found = [line.split(" | ")[:2] + line.split(" | ")[4:5] for line in made.splitlines()
+             if " s (hollow)" in line or "a second (hollow)" in line or "core (hollow)" in line]
+    assert found == [["| **over**", "2", "18 s (hollow)"], ["| close", "0.514", "3,600 octets a second (hollow)"],
+                     ["| within", "0.01", "0.033% of a core (hollow)"]]
+    assert made.splitlines()[-1].startswith("With a budget, and not run: ") and "18 s" not in made.splitlines()[-1]
+
+
+def test_a_row_within_its_budget_tells_at_which_size_it_passes_it():
+    points = [(n, 2.0 + n / 870) for n in (30, 100, 300, 600)]
+    row = scaling.slope("fleet.handover.lost", "w", "s", "n", [n for n, _ in points], dict(points).get, full=870)
+    page = scale_page.Page({row["key"]: {**row, "part": "fleet"}})
+    found = [line.split(" | ") for line in page.grown().splitlines() if "nobody holds the duty" in line]
+    assert page.worked["holder.handover.lost"].value == pytest.approx(3.0)
+    assert len(found) == 1 and 7 <= float(found[0][0].strip("| ")) <= 7 * 1.05     # 2 + m passes 9
+
+
+def test_a_figure_of_a_run_before_the_working_set_says_so():
+    before, after = (page_of(**{key: (1_800, 0.1)}).over() for key in (ROW["key"] + ".before", ROW["key"]))
+    assert "(not in this run)" in before and "(not in this run)" not in after
+
+
+def test_options_stand_side_by_side():
+    made = page_of(**{"subset.one.even": (870, 1.2), "subset.two.even": (870, 3.4),
+                      "subset.two.links": (870, 7)}).options("subset", "one", "two")
+    assert made.splitlines()[2:] == ["| what | u | 1.2 | 3.4 | hollow |", "| what | u | not run | 7 | hollow |"]
+
+
+# Configuration.
+
+def test_gossip_reaches_all_and_none_hears_what_no_datagram_brought():
+    assert 0 < dissemination.spread(60, 400, 2, 0.3, 1)[0] < 20
+    lost = dissemination.Dissemination(60, 400, 2, loss=1.0)
+    assert lost.run(3 * SECOND) == -1 and sum(member.had >= 0 for member in lost.members) == 1
+
+
+def test_a_whole_in_pieces_comes_together_from_several():
+    model = dissemination.Dissemination(40, 20 * dissemination.ROOM, 2, loss=0.4, seed=3)
+    assert model.run(30 * SECOND) > 0
+    assert all(member.pieces == set(range(20)) for member in model.members)
+
+
+def test_a_quick_run_of_the_settings_keeps_nothing(monkeypatch):
+    monkeypatch.setattr(scale_settings, "kept", lambda *_: pytest.fail("a quick run was kept"))
+    ran = CliRunner().invoke(scale_settings.command, ["--quick", "--rows", "sizes", "--json"])
+    rows = {row["key"]: row for row in json.loads(ran.stdout)}
+    assert ran.exit_code == 0 and all(scale_page.wrong(row) == "" for row in rows.values())
+    assert rows["settings.list.octets"]["fit"]["exponent"] > 0.9
+    assert CliRunner().invoke(scale_settings.command, ["--rows", "never"]).exit_code == 2
+
+
+def test_the_configuration_that_is_measured_is_one_that_serving_takes():
+    post = Post(scale_settings.configuration(30, 20, 50), "")
+    stated = stated_of(post, Aside())
+    assert (len(stated.offerings), len(stated.tenants), len(post.events[0]["members"]["servers"])) == (20, 50, 30)
+
+
 # The frame.
 
 @pytest.mark.parametrize("processes, memory, what", [
@@ -141,6 +210,19 @@
     assert all(row["part"] == "part" for row in rows.values())
 
 
+def test_an_interrupt_in_the_midst_of_a_writing_leaves_what_was(tmp_path, monkeypatch):
+    scaling.kept("part", [scaling.single("first", "w", "s", "n", 1, [1], "paper")], tmp_path)
+    writes = Path.write_text
+
+    def half(file, text):
+        writes(file, text[:len(text) // 2])
+        raise KeyboardInterrupt
+    monkeypatch.setattr(Path, "write_text", half)
+    with pytest.raises(KeyboardInterrupt):
+        scaling.kept("part", [scaling.single("second", "w", "s", "n", 1, [1], "paper")], tmp_path)
+    assert [*scaling.read(tmp_path)] == ["first"]
+
+
 INTERRUPTED = """
 import sys
 from pathlib import Path
@@ -161,7 +243,8 @@
                            env={**os.environ, "PYTHONPATH": str(ROOT)})
     try:
         assert ran.stdout.readline() == b"begun\n"
-        while not (tmp_path / "part.new").exists() and ran.poll() is None:
+        until = time.monotonic() + 2
+        while not (tmp_path / "part.new").exists() and time.monotonic() < until:
             time.sleep(0)       # until it is in the midst of a writing
         ran.send_signal(sign)
         ran.wait(20)
@@ -172,7 +255,7 @@
     assert len(rows) in (1, 3001) and "first" in rows
 
 
-@pytest.mark.parametrize("role", ["page"])
+@pytest.mark.parametrize("role", ["page", "settings"])
 def test_each_role_helps_with_an_example(role):
     ran = CliRunner().invoke(main, [role, "--help"])
     assert ran.exit_code == 0 and "Example: python benchmarks/scale.py " + role in ran.output
