Capacity page: missing mechanisms ranked from the rows, bursts, a zone lost during a release

What is missing is told only where a run shows its rows over budget, ranked: what stands before serving first, then what is wholly absent, then by its greatest factor.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -113,3 +113,15 @@
     budget: float | None = None
     moment: str = "day"
     mechanism: str = "none"
+
+
+@dataclass(frozen=True)
+class Missing:
+    """A mechanism that is not there: the worked-out rows that show it, what it would take (text of the page, with
+    tags), whether nothing is served without it, whether there is nothing of it yet. Told where a row is over budget."""
+
+    title: str
+    rows: tuple[str, ...]
+    takes: str
+    serving: bool = False
+    absent: bool = False
--- a/benchmarks/capacity_rows.py
+++ b/benchmarks/capacity_rows.py
@@ -3,12 +3,15 @@
 Owns the formulas. Must never hold a measured figure: what a run gave is asked for by its key (see capacity.py).
 """
 
-from benchmarks.capacity import PEAKS, SIZE, Ask, Size, Worked
+from math import sqrt
+
+from benchmarks.capacity import PEAKS, SIZE, Ask, Missing, Size, Worked
 from corkgauge.loop.hub import SECOND
 from corkgauge.net import feed_wire, frames
 from corkgauge.shared import findings
 from corkgauge.works import plan
 
+TENTH = 0.1             # of all, restarted at a time by a release
 RATE, DAY = SIZE["statements"], SIZE["day"]
 CORE, MEMORY, OCTETS = (SIZE[name] for name in ("core_percent", "memory_mb", "octets"))
 SERVING, CONTROL, VOTER, HOLDER = "workload manager, serving", "workload manager, control", "voter", "holder of a duty"
@@ -28,6 +31,11 @@
     return ask("alone.decision.engines", n.engines) * n.statements * times / 10
 
 
+def busiest(mean: float) -> float:
+    """Of Poisson's counts with this mean, about the largest among the 864,000 windows of 100 ms of a day."""
+    return mean + 4.9 * sqrt(mean)
+
+
 def event(ask: Ask) -> float:
     """Octets of one engine in an event of the list."""
     return ask("settings.list.octets", slope=True)
@@ -61,6 +69,14 @@
         SERVING, "whole statements, three times the mean", "% of a core",
         lambda ask, n: ask("alone.statement.sockets", n.engines) * n.statements * PEAKS["three"] / 10, 100, "worst",
         f"{CODEC}; {CHOICE}"),
+    "serving.cores.zone": Worked(
+        SERVING, "whole statements, a zone lost during a release of a tenth, spread over all others", "% of a core",
+        lambda ask, n: ask("alone.statement.sockets", n.engines) * n.statements / 10 / (1 - 1 / n.zones - TENTH), 100,
+        "worst", f"{CODEC}; {CHOICE}"),
+    "serving.burst": Worked(
+        SERVING, "decisions of the busiest 100 ms of a day, were statements independent: the mean and 4.9 roots of it",
+        "ms", lambda ask, n: ask("alone.decision.engines", n.engines) * busiest(n.statements / 10), 100, "worst",
+        CHOICE),
     "serving.turn": Worked(
         SERVING, "one turn of the hub over all client connections and one link to each engine", "ms",
         lambda ask, n: ask("alone.turn.descriptors", n.connections + n.engines), 1000 / RATE, "day", HUB),
@@ -71,6 +87,9 @@
     "serving.memory.links": Worked(
         SERVING, "one link to each engine of the list, quiet", "MB",
         lambda ask, n: ask("alone.memory.links", n.engines) / 1024, MEMORY, "rest", RINGS),
+    "serving.memory.links.set": Worked(
+        SERVING, "one link to each engine of the largest working set, quiet", "MB",
+        lambda ask, n: ask("alone.memory.links", ask("subset.ours.size_most")) / 1024, MEMORY, "rest", RINGS),
     "serving.memory.open": Worked(
         SERVING, "requests open for two seconds at three times the mean", "MB",
         lambda ask, n: ask("alone.memory.open", 2 * n.statements * PEAKS["three"]) / 1024, MEMORY, "worst", RINGS),
@@ -326,10 +345,55 @@
         CONTROL, "128 MB for control alone: the list", "MB",
         lambda ask, n: ask("alone.memory.engines", n.engines) / 1024, MEMORY, "open"),
     "open.memory.clients": Worked(
-        CONTROL, "128 MB with clients' buffers, connections quiet: the list, links, clients", "MB",
-        lambda ask, n: (ask("alone.memory.engines", n.engines) + ask("alone.memory.links", n.engines)
-                     + ask("alone.memory.clients", n.connections)) / 1024, MEMORY, "open"),
+        CONTROL, "128 MB with clients' buffers, all quiet: the list, links of the largest set, clients", "MB",
+        lambda ask, n: (ask("alone.memory.engines", n.engines)
+                        + ask("alone.memory.links", ask("subset.ours.size_most"))
+                        + ask("alone.memory.clients", n.connections)) / 1024, MEMORY, "open"),
     "open.memory.resident": Worked(
         CONTROL, "128 MB for the whole process: resident as it is ready, nobody there yet", "MB",
         lambda ask, n: ask("alone.memory.serve", n.engines), MEMORY, "open"),
 }
+
+# What is not there. The page ranks them: what stands before serving first, then what is wholly absent, then by factor.
+MISSING = [
+    Missing("A change of configuration in force everywhere without a restart",
+            ("control.change", "control.restart.drain"),
+            "settings that a running program takes: classes and limits exchanged between two statements, what "
+            "holds state kept ({{settings.taken.tenants@2000}} to read and check one of 2,000 tenants); versions "
+            "with a digest; deltas (JSON merge patch, RFC 7396: {{settings.octets.delta}} against "
+            "{{settings.octets.whole}} whole); gossip among the members that there are "
+            "({{worked.control.change.gossip}} until all have it, {{worked.control.change.gossip.octets}} in the "
+            "busiest second of one); a fetch of what was missed, at a start and after a cut; a refusal that is "
+            "told everywhere. Wholes by gossip do not fit the octets.", absent=True),
+    Missing("A list of engines that comes in pieces, or a bound that follows its size",
+            ("feed.whole", "feed.whole.long", "feed.whole.compact"),
+            "the reader of the feed took a whole list of {{settings.list.most}}, {{settings.list.most.long:bare}} "
+            "with ids of 36 characters, as it was measured; at a longer one it ends the connection, again at each "
+            "try, and a workload manager goes on with the list that it knew. A bound that follows what is stated, "
+            "or a list in several events with its end told.", serving=True),
+    Missing("A statement that costs less, or several processes before one port",
+            ("serving.cores", "serving.cores.three", "serving.statement", "serving.decision", "serving.decisions.three",
+             "serving.decisions.five"),
+            "what remains of a decision with the working set is the module's own path (profiles `alone.profile.*` "
+            "below); frames and turns of the hub come on top. Beyond it: several processes on a machine that "
+            "share the port (SO_REUSEPORT), each a workload manager of its own, which multiplies members, links "
+            "and cold parts."),
+    Missing("Books of the fleet that are summed on the way",
+            ("holder.rest.octets", "holder.rest.processor"),
+            "the holder asks every member for its row. Sums by zone or by a tree of members, each with what is "
+            "missing; or fewer rows a second as the fleet grows, with the age told. {{fleet.books.missing}} were "
+            "missing in an entry at the largest size that was played."),
+    Missing("Membership that tells less",
+            ("control.rest.octets", "control.rest.octets.worst", "control.start.octets", "control.zone.octets",
+             "control.zone.release", "control.release.octets", "control.release.octets.worst", "control.region.octets"),
+            "a bound of octets a period on words that ride along, what is new first; rolls by digests, not whole; "
+            "news of many at once (a zone, a region) as one word."),
+    Missing("Hand-over within the limit with all as candidates", ("holder.handover.lost", "holder.handover.planned"),
+            "a shorter lease, or a few standing by in order where now all stand for it."),
+    Missing("A plan of maintenance over engines and workload managers together", ("planner.units",),
+            "the bound of units raised with its pieces and the voters' memory measured, or a plan for each "
+            "region."),
+    Missing("Client connections that cost less memory", ("open.memory.clients", "serving.memory.clients"),
+            "no ring for a connection that lies idle, one made when it is readable; records without an object a "
+            "field."),
+]
--- a/benchmarks/scale_page.py
+++ b/benchmarks/scale_page.py
@@ -6,7 +6,7 @@
 In the text: {{size.NAME}} a figure of the users' size as they gave it; {{KEY}} a figure with unit and kind, {{KEY@400}}
 at a size, {{KEY:bare}} the number alone, {{KEY:slope}}, {{KEY:exponent}}, {{KEY:error}} of what was foretold;
 {{worked.NAME}} and {{worked.NAME:factor}} what is worked out (benchmarks/capacity_rows.py). On a line of its own:
-{{table roles MOMENT}}, {{table over}}, {{table grown}}, {{table slopes PREFIX...}},
+{{table roles MOMENT}}, {{table over}}, {{table grown}}, {{table next}}, {{table slopes PREFIX...}},
 {{table options PREFIX OPTION...}}, {{table gossip LOSS...}}, {{table missing}}.
 """
 
@@ -22,7 +22,7 @@
 import click
 
 from benchmarks.capacity import BEFORE, SIZE, Book, Figure, NotRun, Worked
-from benchmarks.capacity_rows import CHOICE, WORKED
+from benchmarks.capacity_rows import CHOICE, MISSING, WORKED
 from benchmarks.scale_settings import FANOUTS
 from benchmarks.scaling import HOME, KINDS, read
 
@@ -74,17 +74,20 @@
         """The whole page."""
         head = "<!-- Made by `python benchmarks/scale.py page` from docs/capacity/: edit page.md.in there. -->\n\n"
         # The table of what is missing comes last, when all else has been asked for.
-        parts = [TAG.sub(lambda tag: self.named(tag[1].strip()), part)
+        parts = [self.filled(part)
                  for part in re.split(r"(\{\{table missing\}\})", text) if part != "{{table missing}}"]
         if len(parts) > 1:
             parts.insert(1, self.missing())
         return head + "".join(parts)
 
+    def filled(self, text: str) -> str:
+        return TAG.sub(lambda tag: self.named(tag[1].strip()), text)
+
     def named(self, tag: str) -> str:
         """What stands in place of a tag."""
         if tag.startswith("table "):
             name, *rest = tag.split()[1:]
-            if name not in ("roles", "over", "slopes", "options", "grown", "gossip"):
+            if name not in ("roles", "over", "slopes", "options", "grown", "gossip", "next"):
                 raise Unknown(f"{{{{{tag}}}}}: no such table")
             return getattr(self, name)(*rest)
         name, _, form = tag.partition(":")
@@ -203,6 +206,20 @@
         return table(["sent", "fan-out", *(f"{loss}% lost: {what}" for loss in losses for what in (
             "s until all have it", "octets a second, busiest", "octets each, mean"))], rows)
 
+    def next(self) -> str:
+        """What is missing and over its budget, ranked, with its greatest factor and what it would take."""
+        ranked = []
+        for each in MISSING:
+            found = {name: figure.value / WORKED[name].budget for name in each.rows if (figure := self.worked[name])}
+            if found and max(found.values()) > 1:
+                name = max(found, key=found.get)
+                ranked.append((not each.serving, not each.absent, -found[name], each, name))
+        lines = [f"{n}. **{each.title}**: {short(-factor)} times over ({WORKED[name].role}: {WORKED[name].what}, "
+                 f"{said(self.worked[name])} against {with_unit(WORKED[name].budget, WORKED[name].unit)})"
+                 f"{', wholly absent' if each.absent else ''}. Would take: {self.filled(each.takes)}"
+                 for n, (_, _, factor, each, name) in enumerate(sorted(ranked, key=lambda row: row[:3]), 1)]
+        return "\n".join(lines) or "None that a run shows."
+
     def slopes(self, *prefixes: str) -> str:
         """Every kept row of these parts."""
         rows = []
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -23,6 +23,7 @@
 from corkgauge.interface import GONE, HONOURED, READY, Engine
 from corkgauge.loop.hub import SECOND
 from corkgauge.model import dissemination
+from corkgauge.net import feed_wire
 from corkgauge.net.host import Aside, stated_of
 from tests.yard import QUICK, Yard
 
@@ -139,6 +140,17 @@
     assert made.splitlines()[-1].startswith("With a budget, and not run: ") and "18 s" not in made.splitlines()[-1]
 
 
+def test_what_is_missing_is_ranked_serving_first_then_absent_then_by_factor():
+    kept = {"fleet.rest.octets.holder": (870, 70_000), "fleet.rest.octets": (870, 7_001),
+            "fleet.start.octets": (870, 1), "fleet.handover.lost": (870, 8.9),
+            "settings.restart.unready": (1_800, 0.6), "settings.list.octets.long": (1_800, 1.01 * feed_wire.LARGEST)}
+    lines = page_of(**kept).next().splitlines()
+    titles = "A list of engines", "A change of configuration", "Books of the fleet", "A plan of", "Membership that"
+    assert [line.startswith(f"{n}. **{title}") for n, (line, title) in enumerate(zip(lines, titles), 1)] == [True] * 5
+    assert len(lines) == 5 and "**: 10 times over (holder of a duty: datagrams" in lines[2]
+    assert page_of(**{**kept, "settings.list.octets.long": (1_800, 1)}).next().startswith("1. **A change of conf")
+
+
 def test_a_row_within_its_budget_tells_at_which_size_it_passes_it():
     points = [(n, 2.0 + n / 870) for n in (30, 100, 300, 600)]
     row = scaling.slope("fleet.handover.lost", "w", "s", "n", [n for n, _ in points], dict(points).get, full=870)
