--- a/benchmarks/capacity_rows.py
+++ b/benchmarks/capacity_rows.py
@@ -131,6 +131,10 @@
     "control.restart.unready": Worked(
         CONTROL, "configuration by restart: serves nobody, part of the day", "%",
         lambda ask, n: ask("settings.restart.unready", n.engines) * n.changes / DAY * 100, None, "day", RESTART),
+    "control.restart.octets": Worked(
+        CONTROL, "configuration by restart: what the restarts of all the others cost each in datagrams, mean",
+        "octets a second", lambda ask, n: ask("fleet.restart.octets", n.gateways) * n.changes / DAY, OCTETS, "day",
+        RESTART),
     "control.restart.drain": Worked(
         CONTROL, "configuration by restart: serves nobody new, while what is open may take its time", "s",
         lambda ask, n: ask("settings.restart.unready", n.engines) + frames.MOST_EXPIRY / SECOND, SIZE["change_s"],
@@ -275,7 +279,7 @@
     **{f"feed.whole{name}": Worked(
         FEED, f"the whole list as one event, {said}, against the longest line that is taken", "octets",
         lambda ask, n, key="settings.list.octets" + name: ask(key, n.engines), feed_wire.LARGEST, "day",
-        "none; `corkgauge/net/feed_wire.py` ends the connection at a longer line, and serves on by what it knew")
+        "one event up to a bound (`corkgauge/net/feed_wire.py`); a longer one ends the connection, the list stays")
        for name, said in (("", "ids of 8 characters"), (".long", "ids of 36 characters, as a cloud gives them"),
                           (".compact", "ids of 8 characters, JSON without spaces"))},
     "feed.all": Worked(
--- a/benchmarks/scale_settings.py
+++ b/benchmarks/scale_settings.py
@@ -329,10 +329,15 @@
     if unknown := [name for name in names if name not in PARTS]:
         raise click.UsageError(f"--rows: no {unknown[0]!r}; there are {', '.join(PARTS)}")
     found = []
-    for name in names:
-        rows = PARTS[name](Run(quick))
-        found += rows
-        if not quick:
-            kept("settings", rows)      # what was measured stays, whatever befalls the next part
+    # Danger: a run that is told to end would leave its folder; so that is as an interrupt.
+    before = signal.signal(signal.SIGTERM, signal.default_int_handler)
+    try:
+        for name in names:
+            rows = PARTS[name](Run(quick))
+            found += rows
+            if not quick:
+                kept("settings", rows)      # what was measured stays, whatever befalls the next part
+    finally:
+        signal.signal(signal.SIGTERM, before)
     if as_json:
         print(json.dumps(found, indent=1))
