--- a/benchmarks/capacity_rows.py
+++ b/benchmarks/capacity_rows.py
@@ -278,7 +278,7 @@
     # What the list feed and the databases see.
     **{f"feed.whole{name}": Worked(
         FEED, f"the whole list as one event, {said}, against the longest line that is taken", "octets",
-        lambda ask, n, key="settings.list.octets" + name: ask(key, n.engines), feed_wire.LARGEST, "day",
+        lambda ask, n, key="settings.list.octets" + name: ask(key, n.engines), feed_wire.LONGEST, "day",
         "one event up to a bound (`corkgauge/net/feed_wire.py`); a longer one ends the connection, the list stays")
        for name, said in (("", "ids of 8 characters"), (".long", "ids of 36 characters, as a cloud gives them"),
                           (".compact", "ids of 8 characters, JSON without spaces"))},
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -143,7 +143,7 @@
 def test_what_is_missing_is_ranked_serving_first_then_absent_then_by_factor():
     kept = {"fleet.rest.octets.holder": (870, 70_000), "fleet.rest.octets": (870, 7_001),
             "fleet.start.octets": (870, 1), "fleet.handover.lost": (870, 8.9),
-            "settings.restart.unready": (1_800, 0.6), "settings.list.octets.long": (1_800, 1.01 * feed_wire.LARGEST)}
+            "settings.restart.unready": (1_800, 0.6), "settings.list.octets.long": (1_800, 1.01 * feed_wire.LONGEST)}
     lines = page_of(**kept).next().splitlines()
     titles = "A list of engines", "A change of configuration", "Books of the fleet", "A plan of", "Membership that"
     assert [line.startswith(f"{n}. **{title}") for n, (line, title) in enumerate(zip(lines, titles), 1)] == [True] * 5
