Engine.near: whether an engine is in this gateway's working set

The host has to know it for links: which it dials ahead, keeps alive and shares descriptors over. The module writes it; until it does, every engine is in the set.

--- a/corkgauge/interface.py
+++ b/corkgauge/interface.py
@@ -54,6 +54,7 @@
     started: int = 0
     threads: int = 0            # threads of this gateway's hand-offs out there
     aside: int = 0              # taken out for work: 1, nothing new goes there; 2, nothing at all
+    near: bool = True           # in this gateway's working set: the module writes it, the host reads it
     view: Any = None            # the gateway's last few measurements
     name: str = ""              # for the log
 
