Host: a change of the list costs what changed; links by the working set

Now an event looks at what it names, at engines where something waits for a link and at those that lack a link ahead (tables that are kept as it happens); for all others a fill does nothing, as nothing that it looks at has changed since their last. Links are counted as they come and go; which has been idle longest is only asked where one must give way. A station's share of links is worked out over the working set and what closes. A link to an engine outside the set ends when it would be asked for a sign the first time, none is dialled ahead there, and it gives way first.

While every engine is in the set all of it acts as before: twelve courses of changes, refused dials, ended links and requests by chance give the same dials and requests whether or not all engines are looked at after each change. Ruled out: walking the list once a second to count who is in the set; the module's own list tells it.

--- a/corkgauge/net/engines.py
+++ b/corkgauge/net/engines.py
@@ -6,7 +6,6 @@
 """
 
 import re
-from collections import deque
 from typing import Any
 
 from corkgauge.figures.terms import ENGINE
@@ -79,6 +78,7 @@
         self.open: dict[str, Errand] = {}
         self.past: dict[str, None] = {}     # done with, an answer or a copy of one may still come
         self.retired, self.pages = False, 0
+        self.house.links[self] = None
         self.house.ledger.connection_up(ENGINE)
         self.alive, self.asked = 0, NEVER   # signs asked for; when, while none has come
         self.spoke = self.lively = self.house.now   # its last answer; since when none was long in coming
@@ -159,7 +159,8 @@
         self.station.fill()
 
     def watch(self) -> None:
-        """Danger: the engine closes what is idle, and a hand-off would meet that. So none is ever idle."""
+        """Danger: the engine closes what is idle, and a hand-off would meet that. So none is ever idle; one to an
+        engine outside the working set ends before. Danger: in time all pairs of a large fleet would have a link."""
         if self.link.why:
             return
         # Danger: a machine that vanished or was cut off says nothing, and its connections stay open. All that
@@ -167,6 +168,8 @@
         quiet, now = self.house.now - self.link.heard, self.house.now
         if now >= self.asked + NO_SIGN:
             return self.link.end("no sign")
+        if quiet > self.idle and not (self.open or self.station.engine.near) and self.asked == NEVER:
+            return self.link.end("idle, and outside the working set")
         if quiet > (min(SIGN, self.idle) if self.open else self.idle) and self.asked == NEVER:
             self.alive, self.asked = self.alive + 1, now
             self.say("alive", f"alive-{self.alive}")
@@ -179,6 +182,7 @@
     def ended(self, why: str) -> None:
         station = self.station
         station.links.remove(self)
+        self.house.links.pop(self, None)
         self.house.ledger.connection_over(ENGINE, self.link.got, self.link.sent, self.pages)
         if self.house.flows is not None:
             self.house.flows.over(self.link)
@@ -194,11 +198,15 @@
 class Station:
     """An engine, its address, its links, and the hand-offs that wait for one."""
 
-    def __init__(self, house: Any, engine: Engine) -> None:
+    __slots__ = ("house", "engine", "address", "number", "row", "links", "waiting", "dialling", "spare_from", "started",
+                 "era", "filling", "due", "wanting")
+
+    def __init__(self, house: Any, engine: Engine, number: int = 0) -> None:
         self.house, self.engine, self.address = house, engine, ("", 0)
+        self.number = number        # in the order in which the list named them
         self.row = house.ledger.engine(engine.name)     # its account
         self.links: list[EngineLink] = []
-        self.waiting: deque[Errand] = deque()
+        self.waiting: list[Errand] = []     # a deque takes 760 bytes, also where nothing is ever sent
         self.dialling, self.spare_from = False, 0
         self.started = 0            # the engine, in ms, as the list told it
         self.era = 0                # of its process and address; what a dial of an earlier one brings is for nothing
@@ -208,6 +216,7 @@
     def line_up(self, errand: Errand) -> None:
         """A hand-off waits for a link; it is written at the end of this turn, when the gateway has said all."""
         self.waiting.append(errand)
+        self.house.awaited[self] = None
         if not self.due:
             self.due = True
             self.house.hub.unsent.append(self.fill)
@@ -223,6 +232,8 @@
             self._write()
         finally:
             self.filling = False
+        if not self.waiting:
+            self.house.awaited.pop(self, None)
         if self.engine.state == READY:
             self._dial_more()
 
@@ -234,12 +245,12 @@
                 return
             if why := self.house.barred(errand):
                 if self.waiting and self.waiting[0] is errand:
-                    self.waiting.popleft()
+                    del self.waiting[0]
                     self.house.failed(errand, why)
             elif self.waiting and self.waiting[0] is errand and link.room_for(errand.order):
                 if not link.take(errand):
                     return
-                self.waiting.popleft()
+                del self.waiting[0]
 
     def _link_for(self, order: Order) -> EngineLink | None:
         """The emptiest with room, whose engine has not closed it. Danger: what spoils one answer takes all with it that
@@ -256,13 +267,20 @@
         # Danger: hundreds of gateways that dial each engine ahead, most of which they send nothing, cost the
         # engines more than they ask. So where a gateway's part of an engine is below one hand-off, the first
         # link waits for one, and a further one until two had to share.
-        spare = len(self.links) < min(most, SPREAD) and all(each.open for each in self.links) and (
-            self.house.now >= self.spare_from) and (
+        # An engine outside the working set is used by exception, and has links for what waits alone.
+        ahead = len(self.links) < SPREAD and self.engine.near and not self.dialling and (
+            all(each.open for each in self.links)) and (
             self.house.gateway.slots * self.engine.cores >= 1.0 or any(len(each.open) > 1 for each in self.links))
+        if ahead:
+            self.house.short[self] = None       # looked at again with the next change of the list
+        else:
+            self.house.short.pop(self, None)
+        spare = ahead and self.house.now >= self.spare_from
         if not (self.waiting or spare) or self.dialling or len(self.links) >= most:
             return
         if self.house.descriptor_left(bool(self.waiting)):
             self.dialling = True
+            self.house.short.pop(self, None)
             self.house.dials += 1
             self.house.hub.spawn(self.dial, self.address)
         elif self.waiting:
@@ -288,7 +306,7 @@
             self.house.counters["unreached"] += 1
             self.spare_from = self.house.now + SECOND   # Danger: dials without end where none is taken
             if era == self.era:
-                errands, self.waiting = self.waiting, deque()
+                errands, self.waiting = self.waiting, []
                 for errand in errands:
                     self.house.failed(errand, "unreached")
         # Danger: a dial that began before its engine moved, or was started anew, tells nothing of the one that
@@ -317,6 +335,6 @@
     def withdraw(self) -> None:
         """It drains or is gone. Danger: a hand-off that waits for room would begin after that."""
         self.retire()
-        errands, self.waiting = self.waiting, deque()
+        errands, self.waiting = self.waiting, []
         for errand in errands:
             self.house.failed(errand, "withdrawn")
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -77,6 +77,11 @@
         self.links_most, self.dials = post.sockets // 3, 0      # dials under way
         self.names: dict[str, Submission] = {}  # of what is open
         self.stations: dict[str, Station] = {}
+        # So that no request, timer or change of the list costs what the whole list does: links that are up; stations
+        # that drain or are gone; those where something waits for a link; those that lack a link ahead.
+        self.links: dict[EngineLink, None] = {}
+        self.closing, self.awaited, self.short = dict[Station, None](), dict[Station, None](), dict[Station, None]()
+        self.named = 0      # stations, so far
         self.errands: dict[HandOff, Errand] = {}
         self.page_line: deque[Errand] = deque()
         self.ended: deque[Submission] = deque()
@@ -109,24 +114,28 @@
         tag = station.engine.tag
         if station.engine.state == GONE and not station.links and self.stations.get(tag) is station:
             del self.stations[tag]
+            for kept in self.closing, self.awaited, self.short:
+                kept.pop(station, None)
             self.ledger.engine_gone(station.row)
             if self.waits is not None:
                 self.waits.engine_gone(tag, DEPARTED_ROW)
 
     def links_each(self) -> int:
-        """Danger: with fewer links than hand-offs fill, an engine that is well would count as unreached."""
-        return max(2, self.links_most // max(len(self.stations), 1))
+        """What each engine of the working set may have, and each that closes.
+
+        Danger: with fewer links than hand-offs fill, an engine that is well would count as unreached. So the links are
+        shared by those that use them, not by all that a long list names."""
+        return max(2, self.links_most // max(len(self.gateway.engines) + len(self.closing), 1))
 
     def descriptor_left(self, needed: bool) -> bool:
         """May there be another link? Danger: two to each of many engines would take what the feed and the clients need.
         Where one is needed, the link that has been idle longest gives way."""
-        links = [link for station in self.stations.values() for link in station.links]
-        if len(links) + self.dials < self.links_most:
+        if len(self.links) + self.dials < self.links_most:
             return True
-        idle = [link for link in links if not (link.open or link.link.why)]
-        if needed and idle:
+        if needed and (idle := [link for link in self.links if not (link.open or link.link.why)]):
             self.counters["links gave way"] += 1
-            min(idle, key=lambda each: each.link.wrote).link.end("room for others")
+            min(idle, key=lambda each: (each.station.engine.near, each.link.wrote, each.station.number)).link.end(
+                "room for others")
         return False
 
     def make_room(self) -> bool:
@@ -429,6 +438,7 @@
                                 int(each.get("cell", 0)), int(each.get("started_ms", 0))))
         except (Faulty, ValueError, TypeError, KeyError, AttributeError, OverflowError) as problem:
             return f"an event that makes no sense ({type(problem).__name__} {problem})"
+        changed: dict[Station, None] = {}
         if members.get("full"):
             named = {entry[0] for entry in entries}
             for station in self.stations.values():
@@ -441,7 +451,8 @@
                 if self.works is not None:
                     # Danger: a machine that is out for work may be listed anew; it is the same machine.
                     engine.aside = self.works.how(tag, where)
-                station = self.stations[tag] = Station(self, engine)
+                station = self.stations[tag] = Station(self, engine, self.named)
+                self.named += 1
             engine = station.engine
             renewed = started > station.started
             if started != station.started:
@@ -451,16 +462,26 @@
             self.stated.place(engine, hall, kind, cell)
             self.gateway.engine_told(engine, state, moment)
             station.told(where, renewed)
+            changed[station] = None
         self.gateway.list_told()
-        for station in [*self.stations.values()]:
-            if station.engine.state != READY:
-                station.withdraw()
-                self.close(station)
+        # A change may let these go on: what it names, what waits for a link, what lacks one ahead. For all others
+        # a fill does nothing, as nothing that it looks at has changed since their last.
+        told = self.stations.values() if members.get("full") else {**changed, **self.awaited, **self.short}
+        told = sorted(told, key=lambda each: each.number)
+        for station in told:
+            if station.engine.state == READY:
+                self.closing.pop(station, None)
             else:
+                self.closing[station] = None
+                self.short.pop(station, None)
+        for station in told:
+            if station.engine.state == READY:
                 station.fill()
+            else:
+                station.withdraw()
+                self.close(station)
         return ""
 
-
     def moment(self, started: int) -> int:
         """When an engine started, by our clock, from the date in ms. Danger: where a date was set, ours may be the
         wrong one, and an engine that counts as warm too early falls. So the later moment counts, but none to come."""
--- /dev/null
+++ b/tests/test_subset_net.py
@@ -0,0 +1,370 @@
+"""The host's side of a bounded working set: what a change of the list costs, whom links are shared by and kept for."""
+
+import json
+import socket
+import tracemalloc
+
+import pytest
+
+from corkgauge.interface import DRAINING, GONE, READY
+from corkgauge.net import engines
+from corkgauge.net.engine_wire import command
+from corkgauge.net.engines import Station
+from corkgauge.standins.chance import Chance
+from tests.yard import SECOND, Premises, listing, name, request
+
+REAL_DIAL = Station.dial
+
+
+def many(count, first=1):
+    return [{"id": f"e{n}", "addr": f"127.0.0.9:{n}"} for n in range(first, first + count)]
+
+
+def changed(premises, *servers, full=False):
+    number = premises.house.last_event + 1
+    assert not premises.house.event(str(number), json.dumps(listing(number, *servers, full=full)))
+
+
+def held(premises, *tags):
+    """As the module tells it: these alone are in the working set."""
+    for tag, station in premises.house.stations.items():
+        station.engine.near = tag in tags
+    premises.house.gateway.engines = [premises.house.stations[tag].engine for tag in tags]
+    premises.house.gateway.orders.clear()
+
+
+class Walked(dict):
+    """A table that counts how often anybody goes through all of it."""
+
+    walks = 0
+
+    def __iter__(self):
+        Walked.walks += 1
+        return super().__iter__()
+
+    def values(self):
+        Walked.walks += 1
+        return super().values()
+
+    def items(self):
+        Walked.walks += 1
+        return super().items()
+
+
+@pytest.fixture
+def walked(monkeypatch):
+    """Calls of `fill` and `withdraw` by engine, and walks over all engines of the host."""
+    seen = {"fill": [], "withdraw": []}
+    for kind in seen:
+        def noted(station, kind=kind, real=getattr(Station, kind)):
+            seen[kind].append(station.engine.name)
+            real(station)
+        monkeypatch.setattr(Station, kind, noted)
+
+    def watch(premises):
+        premises.house.stations = Walked(premises.house.stations)
+        Walked.walks = 0
+        for each in seen.values():
+            each.clear()
+        return seen
+    return watch
+
+
+@pytest.fixture
+def dialled(monkeypatch):
+    """Whom the host dials; nothing ever comes of it."""
+    found = []
+
+    def dial(station, where):
+        found.append(station.engine.name)
+    monkeypatch.setattr(Station, "dial", dial)
+
+    def begin(premises):
+        monkeypatch.setattr(Station, "dial", dial)     # the rig puts its own there
+        for station in premises.house.stations.values():
+            station.dialling, station.house.dials = False, 0
+        found.clear()
+        return found
+    return begin
+
+
+# A change of the list.
+
+@pytest.mark.parametrize("count", [10, 40, 160])
+def test_a_change_of_one_engine_costs_one_however_long_the_list(count, walked):
+    premises = Premises([listing(1, *many(count))], instances=200)
+    seen = walked(premises)
+    changed(premises, {"id": "e3", "addr": "127.0.0.9:3", "started_ms": 5})
+    changed(premises, {"id": "e4", "addr": "127.0.0.9:4", "state": "DRAINING"})
+    changed(premises, {"id": "e4", "addr": "127.0.0.9:4", "state": "DELETED"})
+    changed(premises, *many(1, count + 1))
+    assert seen == {"fill": ["e3", f"e{count + 1}"], "withdraw": ["e4", "e4"]} and Walked.walks == 0
+    assert len(premises.house.stations) == count and "e4" not in premises.house.stations
+
+
+def test_a_whole_list_costs_the_list_once(walked):
+    premises = Premises([listing(1, *many(30))], instances=200)
+    seen = walked(premises)
+    changed(premises, *many(20, 11), full=True)
+    assert seen == {"fill": [f"e{n}" for n in range(11, 31)], "withdraw": [f"e{n}" for n in range(1, 11)]}
+    assert Walked.walks == 2 and [*premises.house.stations] == [f"e{n}" for n in range(11, 31)]
+
+
+def test_what_is_told_of_several_acts_in_the_order_in_which_the_list_first_named_them(walked):
+    premises = Premises([listing(1, *many(30))], instances=200)
+    seen = walked(premises)
+    changed(premises, *reversed(many(3, 4)), {"id": "e9", "addr": "127.0.0.9:9", "state": "DRAINING"}, *many(1, 2))
+    assert seen == {"fill": ["e2", "e4", "e5", "e6"], "withdraw": ["e9"]}
+
+
+def test_what_waits_for_a_link_goes_on_with_a_change_that_names_another_engine(walked):
+    premises = Premises([listing(1, {})], instances=200)
+    client = premises.client()
+    premises.ask(client, request())
+    mine, its = socket.socketpair()
+    station = premises.house.stations["e1"]
+    link = engines.EngineLink(station, its)
+    station.links.append(link)      # it is there, and nobody has filled it yet
+    seen = walked(premises)
+    changed(premises, *many(1, 2))
+    assert {*seen["fill"]} == {"e1", "e2"} and name(1).encode() in mine.recv(4096)
+    seen["fill"].clear()
+    changed(premises, *many(1, 3))
+    assert seen["fill"] == ["e3"]       # nothing waits at the first any more
+
+
+def test_a_link_ahead_that_was_not_to_be_had_is_tried_again_with_the_next_change(walked, dialled):
+    premises = Premises([listing(1, {}, *many(1, 2))], instances=3)
+    station = premises.house.stations["e1"]
+    found = dialled(premises)
+    station.spare_from = premises.hub.now + SECOND     # as after a dial that was refused
+    station.fill()
+    changed(premises, *many(1, 3))
+    premises.turn()
+    assert "e1" not in found
+    premises.pass_time(SECOND)
+    changed(premises, *many(1, 4))
+    premises.turn()
+    assert "e1" in found
+
+
+class Played:
+    """One course of changes, requests, failed dials and ended links, by chance; `whole` fills all engines after each
+    change, as the host once did. `trace` is what the outside sees."""
+
+    def __init__(self, seed, whole):
+        self.chance, self.trace, self.guests, self.refused = Chance(seed), [], [], 0
+        self.kept, engines.dial = engines.dial, self.dial
+        self.premises = Premises([listing(1, *many(5))], sockets=60, instances=(3, 200)[seed % 2])
+        Station.dial = REAL_DIAL
+        self.house = self.premises.house
+        self.house.dials = 0
+        for station in self.house.stations.values():
+            station.dialling = False
+            station.fill()
+        self.client, self.whole, self.stream, self.states = self.premises.client(), whole, 0, dict.fromkeys(range(1, 9))
+
+    def dial(self, hub, where, span):
+        self.trace.append(("dial", where[1]))
+        if self.refused:
+            self.refused -= 1
+            return None, ("ECONNREFUSED", "EMFILE")[self.refused % 2]
+        mine, its = socket.socketpair()
+        mine.setblocking(False)
+        self.guests.append((where[1], mine))
+        return its, ""
+
+    def step(self):
+        what = self.chance.below(6)
+        if what < 2:
+            n = 1 + self.chance.below(8)
+            state = ("SERVING", "SERVING", "DRAINING", "DELETED")[self.chance.below(4)]
+            moved, started = self.chance.below(8) == 0, self.chance.below(6) == 0
+            changed(self.premises, {"id": f"e{n}", "addr": f"127.0.0.9:{n + 100 * moved}", "state": state,
+                                    "started_ms": self.premises.time // 10 if started else 0})
+            if self.whole:
+                for station in [*self.house.stations.values()]:
+                    station.fill()
+        elif what == 2:
+            self.refused = self.chance.below(4)
+        elif what == 3 and self.guests:
+            self.guests.pop(self.chance.below(len(self.guests)))[1].close()
+        else:
+            if not self.house.callers:      # an idle one gives way where there are no descriptors
+                self.client = self.premises.client()
+            self.stream += 1
+            self.client.sendall(request(self.stream, patience="900"))
+        self.premises.turn()
+        self.premises.pass_time(100 * (1 + self.chance.below(40)), 100)
+        for where, guest in self.guests:
+            try:
+                for line in guest.recv(1 << 16).split(b"fetch")[1:]:
+                    self.trace.append(("fetch", where, line[7:23]))
+                    if self.chance.below(3):
+                        guest.sendall(command(line[7:23].decode(), "DONE", "chunks=1", "a\t\t\n"))
+            except (BlockingIOError, ConnectionError):
+                pass
+        self.premises.turn()
+        self.trace.append(("answers", len(self.premises.answers(self.client))))
+
+    def over(self):
+        engines.dial = self.kept
+        assert not [line for line in self.premises.logged if "Traceback" in line], self.premises.logged
+        return self.trace
+
+
+@pytest.mark.parametrize("seed", range(1, 13))
+def test_a_change_does_all_that_looking_at_every_engine_did(seed):
+    traces = []
+    for whole in False, True:
+        play = Played(seed, whole)
+        try:
+            for _ in range(60):
+                play.step()
+        finally:
+            traces.append(play.over())
+    assert traces[0] == traces[1] and sum(each[0] == "dial" for each in traces[0]) > 10
+
+
+# Links.
+
+def test_a_dial_costs_no_walk_over_all_engines(walked):
+    premises = Premises([listing(1, *many(50))], sockets=90, instances=200)
+    ends = [premises.engine(f"e{n}") for n in range(1, 21)]
+    client = premises.client()
+    walked(premises)
+    assert premises.house.descriptor_left(True) and premises.house.links_each() >= 2
+    for n in range(1, 9):
+        premises.ask(client, request(n))
+    assert Walked.walks == 0 and len(premises.house.links) == len(ends)
+
+
+def test_links_that_end_are_counted_no_more():
+    premises = Premises([listing(1, *many(3))], instances=200)
+    socks = [premises.engine(tag) for tag in ("e1", "e1", "e2")]
+    assert len(premises.house.links) == 3
+    socks[0].close()
+    premises.turn()
+    changed(premises, *many(1), full=True)
+    premises.turn()
+    assert [each.station.engine.name for each in premises.house.links] == ["e1"]
+
+
+def test_links_are_shared_by_the_working_set_and_what_closes_not_by_the_list():
+    premises = Premises([listing(1, *many(60))], sockets=96, instances=200)
+    house = premises.house
+    assert house.links_each() == 2      # as ever where all engines are in the set
+    held(premises, "e1", "e2", "e3", "e4")
+    assert house.links_each() == 96 // 3 // 4
+    house.stations["e9"].engine.state = DRAINING
+    house.closing[house.stations["e9"]] = None
+    assert house.links_each() == 96 // 3 // 5
+
+
+@pytest.mark.parametrize("count", [2, 7, 30])
+def test_while_all_engines_are_in_the_set_the_share_is_that_of_the_list(count):
+    premises = Premises([listing(1, *many(count))], sockets=300, instances=200)
+    house = premises.house
+    kept = premises.engine("e1")
+    for state in "DRAINING", "DELETED", "SERVING", "DRAINING":
+        changed(premises, {"id": "e1", "addr": "127.0.0.9:1", "state": state})
+        assert house.links_each() == max(2, 100 // len(house.stations))
+    changed(premises, *many(count - 1, 2), full=True)
+    assert house.links_each() == max(2, 100 // len(house.stations))
+    assert kept.fileno() >= 0 and {each.engine.state for each in house.closing} <= {DRAINING, GONE}
+
+
+def test_where_descriptors_run_out_a_link_outside_the_set_gives_way_first():
+    premises = Premises([listing(1, *many(9))], sockets=32, instances=200)
+    premises.house.links_most, ends = 3, []
+    for tag in "e1", "e2", "e3":
+        ends.append(premises.engine(tag))
+        premises.pass_time(100)
+        premises.house.stations[tag].links[0].link.wrote = premises.hub.now
+    held(premises, "e1", "e2", "e4")
+    assert not premises.house.descriptor_left(True)
+    premises.turn()
+    assert [each.station.engine.name for each in premises.house.links] == ["e1", "e2"]
+    ends.append(premises.engine("e4"))
+    assert not premises.house.descriptor_left(True)
+    premises.turn()     # all in the set: the one that has been idle longest, as ever
+    assert [each.station.engine.name for each in premises.house.links] == ["e2", "e4"]
+
+
+def test_an_idle_link_outside_the_set_ends_and_one_inside_is_kept():
+    premises = Premises([listing(1, *many(2))], limits={"connIdleUs": 3_000_000}, instances=200)
+    ends = [premises.engine(tag) for tag in ("e1", "e2")]
+    held(premises, "e1")
+    premises.pass_time(SECOND + SECOND // 4)
+    assert premises.heard(ends[0]).startswith(command("alive", "alive-1"))
+    assert ends[1].recv(100) == b"" and not premises.house.stations["e2"].links     # closed, with nothing said before
+    assert [each.station.engine.name for each in premises.house.links] == ["e1"]
+
+
+def test_a_link_of_an_engine_that_comes_back_to_the_set_is_kept():
+    premises = Premises([listing(1, *many(2))], limits={"connIdleUs": 3_000_000}, instances=200)
+    end = premises.engine("e2")
+    held(premises, "e1")
+    premises.pass_time(SECOND // 2)
+    held(premises, "e1", "e2")
+    premises.pass_time(SECOND)
+    assert premises.heard(end).startswith(command("alive", "alive-1"))
+
+
+def test_a_link_outside_the_set_is_asked_for_signs_while_something_is_out_there():
+    premises = Premises([listing(1, {})], limits={"connIdleUs": 1_200_000}, instances=200)
+    end, client = premises.engine(), premises.client()
+    premises.ask(client, request(patience="4500"))
+    assert b"fetch" in premises.heard(end)
+    premises.house.stations["e1"].engine.near = False
+    premises.pass_time(SECOND // 2 + SECOND // 10)
+    assert premises.heard(end).startswith(command("alive", "alive-1"))
+    premises.engine_says(end, "alive-1", "FIT", "-", "")
+    premises.engine_says(end, name(1), "DONE", "chunks=1", "a\t\t\n")
+    assert [each[1:3] for each in premises.answers(client)] == [(1, b"\1")]
+    premises.pass_time(2 * SECOND)
+    assert not premises.house.links
+
+
+def test_no_engine_outside_the_set_is_dialled_ahead(dialled):
+    premises = Premises([listing(1, *many(4))], instances=3)
+    found = dialled(premises)
+    held(premises, "e1", "e3")
+    for station in premises.house.stations.values():
+        station.fill()
+    premises.turn()
+    assert found == ["e1", "e3"] and len(premises.house.short) <= 2
+
+
+def test_an_engine_outside_the_set_is_dialled_for_what_waits_and_for_nothing_more(dialled):
+    premises = Premises([listing(1, {})], instances=3)
+    station, found = premises.house.stations["e1"], dialled(premises)
+    station.engine.near = False
+    client = premises.client()
+    premises.ask(client, request(1) + request(2))
+    assert found == ["e1"]
+    station.dialling = False
+    end = premises.engine()
+    premises.turn()
+    assert premises.heard(end).count(b"fetch") == 2     # they share it, and no further one is dialled ahead
+    assert found == ["e1"]
+    station.engine.near = True
+    station.fill()
+    premises.turn()
+    assert found == ["e1", "e1"]
+
+
+def test_an_engine_of_a_long_list_that_nothing_is_sent_to_costs_the_host_little():
+    events = [listing(1, *many(count)) for count in (100, 500)]
+    took = []
+    for event in events:
+        tracemalloc.start()
+        try:
+            premises = Premises([event], instances=870)
+            snapshot = tracemalloc.take_snapshot().filter_traces([tracemalloc.Filter(True, "*/corkgauge/net/*"),
+                                                                  tracemalloc.Filter(True, "*/corkgauge/figures/*")])
+            took.append(sum(each.size for each in snapshot.statistics("filename")))
+        finally:
+            tracemalloc.stop()
+        assert {each.engine.state for each in premises.house.stations.values()} == {READY}
+    assert (took[1] - took[0]) / 400 < 1_100
