--- a/corkgauge/standins/undefended.py
+++ b/corkgauge/standins/undefended.py
@@ -2,8 +2,9 @@
 objects.
 
 `python -m corkgauge.standins.undefended OFF RATE serve ...`: OFF is any of check, silence, margin, busy, and of works
-agreement, confirmation, orders, joined by commas, or none; RATE how fast the clock since boot runs. `midact` leaves
-nothing out: the process stops itself once, between its look at the clock and the act. Must never be used for anything
+agreement, confirmation, orders, of the working set cold, groups, beyond, few, joined by commas, or none; RATE how fast
+the clock since boot runs. `midact` leaves nothing out: the process stops itself once, between its look at the clock and
+the act. Must never be used for anything
 but that.
 """
 
@@ -92,6 +93,34 @@
         Gateway.turn_passed = lambda self, engine, work, when: work > 0 or [
             passed(self, engine, work, when + 20 * self.fall_span)]
         Turns.received = lambda self, now, serial, known_for, left: now + left
+    elif off == "cold":
+        # An engine that has just started is sent what any other is.
+        from corkgauge.control import Gateway
+        Gateway._cold = lambda self, engine: False
+    elif off == "groups":
+        # What may have run is tried again anywhere, whoever knows its label.
+        from corkgauge.control import Gateway
+        stated = Gateway.__init__
+
+        def careless(self: Gateway, host: object, **said: object) -> None:
+            for each in said["offerings"]:
+                each.group = "all"
+            stated(self, host, **said)
+        Gateway.__init__ = careless
+    elif off == "beyond":
+        # Nothing is sought outside the working set.
+        from corkgauge.control import Gateway
+        Gateway._beyond = lambda self, sub, tried: None
+    elif off == "few":
+        # The working set is what is first by rank, whatever kinds the offerings need.
+        from corkgauge.control import Gateway
+        gathered = Gateway._gather
+
+        def bare(self: Gateway) -> None:
+            needed, self.offerings = self.offerings, []
+            gathered(self)
+            self.offerings = needed
+        Gateway._gather = bare
     elif off == "day":
         # Its date is a day ahead, from its start.
         from corkgauge.loop import hub
--- /dev/null
+++ b/corkgauge/standins/wide.py
@@ -0,0 +1,203 @@
+"""Several processes of the program before a list that is longer than a working set; engines are all stand-ins.
+
+Owns the cast: some gateways of the many that are told (`instances`), engines on one hub, a feed for each gateway, so
+that their lists may be of different age. Foretells each gateway's working set by the very module, in this process; what
+is judged is what the engines saw. Must never send to any address but loopback ones.
+"""
+
+import secrets
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+from typing import Any
+
+from corkgauge.control import Gateway as Module
+from corkgauge.interface import READY, Engine
+from corkgauge.loop.hub import SECOND
+from corkgauge.net.host import Aside
+from corkgauge.standins import rules
+from corkgauge.standins.clients import Ask, ClientStandIn, Want
+from corkgauge.standins.engines import Run
+from corkgauge.standins.feed import FeedStandIn
+from corkgauge.standins.fleet import Fleet, Gateway
+from corkgauge.standins.listener import Listener
+from corkgauge.standins.play import CORES, HALLS, KINDS, WANTS, settings
+from corkgauge.standins.program import Program
+from corkgauge.stated import Stated
+
+FEW_KIND, FEW_CORES = "x12", 12     # a kind that few engines are of; reports run on it alone
+COLD = 0.05, 1.0, SECOND + SECOND // 2      # share, multiple and time to fall of an engine that has just started
+LOWEST, PORTS = 2_048, 8_000        # below those of gateways
+MISSING = -1                        # a gateway whose settings name no number
+
+
+def settled(listener: Listener) -> None:
+    """Danger: a port that the system hands out may go to an outgoing connection while its engine is gone, and gateways'
+    ports are let go for a moment as they start; so engines have theirs below both."""
+    listener.close()
+    while listener.sock is None:
+        listener.address = "127.0.0.1", LOWEST + secrets.randbelow(PORTS)
+        try:
+            listener.open()
+        except OSError:
+            listener.sock.close()
+            listener.sock = None
+
+
+class WideFeed(FeedStandIn):
+    """Tells each engine's cell too."""
+
+    def told(self, engines: list[Any], state: str = "SERVING", full: bool = False) -> dict[str, Any]:
+        self.version += 1
+        servers = [{"id": each.name, "addr": each.address, "zone": each.hall, "kind": each.kind, "cell": each.cell,
+                    "state": state, "weight": 1, "started_ms": each.started_ms} for each in engines]
+        event = {"n": self.version, "members": {"version": self.version, "full": full, "servers": servers}}
+        if full:
+            named = {each.name for each in engines}
+            for _, name, was, started in [*self.changes]:
+                if was == "SERVING" and name not in named:
+                    self.changes.append((self.hub.now, name, "DELETED", started))
+        self.events.append(event)
+        self.changes += [(self.hub.now, each.name, state, each.started_ms) for each in engines]
+        for reader in self.listener.guests:
+            reader.tell()
+        return event
+
+
+class Wide(Fleet):
+    """`numbers` are those of the gateways that run, of `told`; `listed` the engines of the first list and `more` those
+    beyond it; the first `few` of both are of a kind of their own; `cell` engines make a cell, which knows its repeats
+    by itself. `spoilt` names what is left out of all. `rates` are submissions a second, a client each, to the gateways
+    in turn."""
+
+    def __init__(self, numbers: Iterable[int], told: int = 60, listed: int = 300, more: int = 0, few: int = 4,
+                 cell: int = 0, spoilt: str = "", rates: Iterable[float] = (40.0,) * 3,
+                 wants: list[Want] = WANTS, seed: int = 5, cold: float = 15.0) -> None:
+        self.numbers, self.told, self.few, self.cell, self.spoilt = [*numbers], told, few, cell, spoilt
+        self.first = [f"e{n}" for n in range(1, listed + 1)]
+        self.marks: dict[int, dict[str, int]] = {}      # labels that have run, by cell
+        super().__init__(seed=seed, gateways=len(self.numbers), engines=listed + more, cold=cold)
+        names = [*self.gateways]
+        self.clients = [ClientStandIn(self.hub, self.gateways[names[n % len(names)]].address, wants,
+                                      ("acme", "bolt")[n % 2], rate, seed * 1000 + n) for n, rate in enumerate(rates)]
+
+    def _feed(self, name: str) -> WideFeed:
+        if not self.marks:
+            self._arrange()
+        return WideFeed(self.hub)
+
+    def _arrange(self) -> None:
+        """Kinds and cells, before the first list."""
+        for n, engine in enumerate(self.engines.values()):
+            engine.cell = n // self.cell if self.cell else 0
+            engine.known = self.marks.setdefault(engine.cell, {})
+            settled(engine.listener)
+            if n < self.few or 0 <= n - len(self.first) < self.few:
+                engine.kind, engine.cores = FEW_KIND, FEW_CORES
+        self.stakes = replace(self.stakes, kinds={"report": {FEW_KIND}}, cold=(COLD[0], self.cold, *COLD[1:]))
+
+    def _program(self, gateway: Gateway, number: int) -> Program:
+        feed = self.feeds[gateway.name]
+        first = feed.told([self.engines[each] for each in self.first], full=True)
+        said = {"name": gateway.name, "listen": "%s:%d" % gateway.address, "feed": feed.address,
+                "seed": f"{self.seed * 100 + number:x}", "limits": {"memory_mb": 96, "sockets": 512},
+                "known": {"n": 1, "events": [first]}, "settings": self.stated(number)}
+        start = ("-m", "corkgauge.standins.undefended", self.spoilt, "1.0") if self.spoilt else ("-m", "corkgauge")
+        return Program(gateway.folder, said, "", start)
+
+    def stated(self, number: int) -> dict[str, Any]:
+        """What the gateway at this place of the cast is told."""
+        said = settings("cell" if self.cell else "all")
+        said["profiles"][1]["servedOn"] = [len(KINDS)]
+        said["kinds"] = [*KINDS, FEW_KIND]
+        said["extra"]["coresByKind"] = [*(CORES[kind] for kind in KINDS), FEW_CORES]
+        said["extra"]["sizeMb"] = [4000, 6000, 6000]
+        said["rules"] |= {"coldUs": self.cold * 100, "coldShare": COLD[0], "fallMultiple": COLD[1],
+                          "fallUs": COLD[2] * 100}
+        said["instances"], said["myNumber"] = self.told, self.numbers[number]
+        if self.numbers[number] == MISSING:
+            del said["myNumber"]
+        return said
+
+    def working_set(self, name: str, wider: float = 1.0) -> set[str]:
+        """Foretold: what this gateway holds by the last list that its feed has told, while nothing fails; or with its
+        set so much wider."""
+        number = [*self.gateways].index(name)
+        stated = Stated(self.stated(number), Aside(), self.seed * 100 + number)
+        module: Module = stated.gateway
+        for tag, (hall, kind, cell, started) in self.listing(name).items():
+            engine = Engine(tag, tag.encode(), HALLS.index(hall), stated.kinds.index(kind), cell, name=tag)
+            stated.place(engine, engine.hall, engine.kind, cell)
+            module.engine_told(engine, READY, started * 10)
+        module.wider = wider
+        module.list_told()
+        return {engine.name for engine in module.engines}
+
+    def listing(self, name: str) -> Mapping[str, tuple[str, str, int, int]]:
+        """The engines that serve, by the last that this gateway's feed told."""
+        found: dict[str, tuple[str, str, int, int]] = {}
+        for event in self.feeds[name].events:
+            if event["members"]["full"]:
+                found.clear()
+            for each in event["members"]["servers"]:
+                found.pop(each["id"], None)
+                if each["state"] == "SERVING":
+                    found[each["id"]] = each["zone"], each["kind"], each["cell"], each["started_ms"]
+        return found
+
+    def tell(self, names: Iterable[str], state: str = "SERVING", full: bool = False, to: Iterable[str] = ()) -> None:
+        """The feeds of these gateways, or of all, tell of these engines."""
+        for gateway in to or self.gateways:
+            self.feeds[gateway].told([self.engines[name] for name in names], state, full)
+
+    def started(self, names: Iterable[str]) -> None:
+        """These have just started; nobody has been told yet."""
+        for name in names:
+            self.engines[name].started_ms = self.hub.now // 10
+
+    def close(self) -> None:
+        super().close()
+        for each in (*self.engines.values(), *self.feeds.values()):
+            each.listener.drop()
+            if each.listener.sock is not None:
+                each.listener.sock.close()
+
+    # What was seen.
+
+    def asks_of(self, name: str, since: int = 0) -> list[Ask]:
+        """What clients asked of one gateway."""
+        where = [*self.gateways].index(name)
+        return [ask for n, client in enumerate(self.clients) if n % len(self.gateways) == where
+                for ask in client.book if ask.sent >= since]
+
+    def runs_of(self, name: str, since: int = 0) -> list[Run]:
+        """What came to engines from one gateway, in the order in which it came."""
+        mine = {ask.trace for ask in self.asks_of(name)}
+        return sorted((run for engine in self.engines.values() for run in engine.book
+                       if run.trace in mine and run.came >= since), key=lambda run: run.came)
+
+    def reached_by(self, name: str, since: int = 0) -> set[str]:
+        """Engines that something of one gateway's came to."""
+        return {run.engine for run in self.runs_of(name, since)}
+
+    def served(self, since: int = 0, until: int = 2 ** 62, offering: str = "") -> float:
+        """Part of what was asked that was served."""
+        asks = [ask for client in self.clients for ask in client.book
+                if since <= ask.sent < until and offering in ("", ask.want.offering)]
+        return sum(bool(ask.answers) and ask.answers[0][1] == rules.SERVED for ask in asks) / max(len(asks), 1)
+
+    def broken(self, slack: int = rules.SLACK) -> list[str]:
+        """The seven rules. What engines are sent counts over all gateways; a drain binds whom it was told."""
+        asks = sorted((ask for name in self.gateways for ask in self.asks_of(name)), key=lambda ask: ask.sent)
+        runs = {name: self.runs_of(name) for name in self.gateways}
+        whole = sorted((run for each in runs.values() for run in each), key=lambda run: run.came)
+        cores = {name: each.cores for name, each in self.engines.items()}
+        colds = {change for feed in self.feeds.values() for change in feed.changes if change[3]}
+        found = rules.broken(asks, whole, sorted({(10 * started, engine, state, started)
+                                                  for _, engine, state, started in colds if state == "SERVING"}),
+                             cores, replace(self.stakes, extra=(0.0, 0.0, 0)), slack)
+        for name, each in runs.items():
+            mine = self.asks_of(name)
+            found += rules.drained(each, self.feeds[name].changes, self.stakes.grace + slack)
+            found += rules.rationed(mine, each, self.stakes)
+        return found
+
