--- a/corkgauge/standins/wide.py
+++ b/corkgauge/standins/wide.py
@@ -122,7 +122,7 @@
         """Foretold: what this gateway holds by the last list that its feed has told, while nothing fails; or with its
         set so much wider."""
         number = [*self.gateways].index(name)
-        stated = Stated(self.stated(number), Aside(), self.seed * 100 + number)
+        stated = Stated(self.stated(number), Aside(), self.seed * 100 + number, name)
         module: Module = stated.gateway
         for tag, (hall, kind, cell, started) in self.listing(name).items():
             engine = Engine(tag, tag.encode(), HALLS.index(hall), stated.kinds.index(kind), cell, name=tag)
