Rigs: no process outlives its starter, and no two choose the same port

Gateways of a scene that had failed still ran eight minutes later, their parent gone: test_fleet.py closed its fleets at the end of tests that passed, and nothing ended a rig's processes when the rig itself was killed. What is left over takes processor time from the next run.

Gateways, burners, askers, commands of tests and workers of pools are tied to whoever starts them (PR_SET_PDEATHSIG), so they end with it in whichever way it ends, also those that stand still.

Ports: a gateway's were held until all started, and were free from then until it listened and whenever it was down.

--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -175,7 +175,8 @@
 
 def start(base, runs):
     from corkgauge.standins.play import settings
-    from corkgauge.standins.program import Program, free_port
+    from corkgauge.standins.ports import free_port
+    from corkgauge.standins.program import Program
     with tempfile.TemporaryDirectory() as folder:
         before = tree_of(base, folder)
         try:
--- a/corkgauge/standins/fleet.py
+++ b/corkgauge/standins/fleet.py
@@ -36,12 +36,13 @@
 from corkgauge.standins.engines import EngineStandIn
 from corkgauge.standins.feed import FeedStandIn
 from corkgauge.standins.judge import Judge, vacancies, verdict
+from corkgauge.standins.parent import tied
 from corkgauge.standins.play import CORES, HALLS, KINDS, STAKES, WANTS, WORK, settings
+from corkgauge.standins.ports import Reserved
 from corkgauge.standins.program import Program
 from corkgauge.standins.relay import Passage, Way
 
 JUDGE = "judge"
-LOWEST, PORTS = 10_240, 22_000      # below what systems hand out
 SORTS = ("stop", "kill", "end", "cut", "deaf", "mute", "part", "lose", "late", "double", "replay", "busy", "yield",
          "engine")
 WITH_FIGURE = "lose", "late", "double"
@@ -148,22 +149,6 @@
 """
 
 
-def held_ports() -> list[socket.socket]:
-    """A TCP and a UDP socket, each at a port of its own. Danger: one that the system hands out may go to an outgoing
-    connection while the process that listens there is down; so they lie below those, and are held until all start."""
-    found = []
-    for sort in socket.SOCK_STREAM, socket.SOCK_DGRAM:
-        while True:
-            sock = socket.socket(socket.AF_INET, sort)
-            try:
-                sock.bind(("127.0.0.1", LOWEST + secrets.randbelow(PORTS)))
-                found.append(sock)
-                break
-            except OSError:
-                sock.close()
-    return found
-
-
 class Gateway:
     """One process, and where it is reached."""
 
@@ -171,8 +156,8 @@
         self.fleet, self.name, self.hall = fleet, f"n{number}", HALLS[number % 2]
         self.folder = os.path.join(fleet.folder, self.name)
         os.mkdir(self.folder)
-        self.reserved = held_ports()
-        self.address, self.listen = (sock.getsockname() for sock in self.reserved)
+        self.reserved = [Reserved(sort) for sort in (socket.SOCK_STREAM, socket.SOCK_DGRAM)]
+        self.address, self.listen = (each.address for each in self.reserved)
         self.program: Any = None
         self.burner: subprocess.Popen | None = None
         self.troubled: list[int] = []       # when it was stopped, killed or kept from its processor
@@ -284,8 +269,8 @@
 
     def start(self) -> None:
         for gateway in self.gateways.values():
-            for sock in gateway.reserved:
-                sock.close()
+            for each in gateway.reserved:
+                each.release()
         for gateway in self.gateways.values():
             gateway.program.start()
         self.begun = self.hub.now
@@ -328,6 +313,8 @@
                 gateway.program.tell(signal.SIGCONT)
                 gateway.program.tell(signal.SIGKILL)
                 gateway.program.process.wait()
+            for each in gateway.reserved:
+                each.end()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     # Faults.
@@ -403,7 +390,8 @@
         if on and gateway.program.running():
             core = [*os.sched_getaffinity(0)][-1]
             os.sched_setaffinity(gateway.program.process.pid, {core})
-            gateway.burner = subprocess.Popen([sys.executable, "-c", "while True: pass"])
+            gateway.burner = subprocess.Popen([sys.executable, "-c", "while True: pass"],
+                                              preexec_fn=tied(os.getpid()))
             os.sched_setaffinity(gateway.burner.pid, {core})
         elif gateway.program.running():
             os.sched_setaffinity(gateway.program.process.pid, os.sched_getaffinity(0))
@@ -436,7 +424,8 @@
                    "ask(sys.argv[1], sys.argv[2], sys.argv[3], 5.0, json.loads(sys.argv[4]))))",
                    f"{self.gateways[name].folder}/figures.sock", target, "POST" if body else "GET",
                    json.dumps(body)]
-        process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+                                   preexec_fn=tied(os.getpid()))
         self.until(10, lambda: process.poll() is None)
         out, wrong = process.communicate()
         if process.returncode:
--- a/corkgauge/standins/play.py
+++ b/corkgauge/standins/play.py
@@ -16,7 +16,8 @@
 from corkgauge.standins.clients import ClientStandIn, Want
 from corkgauge.standins.engines import EngineStandIn
 from corkgauge.standins.feed import FeedStandIn
-from corkgauge.standins.program import Program, free_port
+from corkgauge.standins.ports import free_port
+from corkgauge.standins.program import Program
 from corkgauge.standins.scraper import Scraper
 from corkgauge.standins.script import Scene
 
--- a/corkgauge/standins/program.py
+++ b/corkgauge/standins/program.py
@@ -1,16 +1,17 @@
 """The real program, started for the stand-ins to play with.
 
-Owns one child process, its files and its log. Ends only what it started.
+Owns one child process, its files and its log. Ends only what it started; the child ends with whoever started it.
 """
 
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from typing import Any
 
+from corkgauge.standins.parent import tied
+
 
 class Program:
     """`serve` in a process of its own, in a folder of its own. `start` is what is run in place of
@@ -36,7 +37,7 @@
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, *self.start_with, *self.arguments], stdout=log, stderr=log,
-                stdin=subprocess.DEVNULL, cwd=self.tree,
+                stdin=subprocess.DEVNULL, cwd=self.tree, preexec_fn=tied(os.getpid()),
                 env={**os.environ, "EDGE_CONFIG": self.config, "EDGE_LISTEN": "",
                      "PYTHONDONTWRITEBYTECODE": "1"})
 
@@ -76,10 +77,3 @@
     def log(self) -> list[str]:
         with open(self.log_path, encoding="utf-8", errors="replace") as file:
             return file.read().splitlines()
-
-
-def free_port() -> int:
-    """A port that nobody had a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,7 +18,8 @@
 from corkgauge.net.door import Door
 from corkgauge.net.engines import EngineLink, Station
 from corkgauge.net.feed import Feed
-from corkgauge.standins.program import free_port
+from corkgauge.standins.parent import tied
+from corkgauge.standins.ports import free_port
 from tests.yard import SECOND, STATED_ON_SOCKETS, Premises, listing, name, request
 
 ROW, T1 = "a\t\t\n", name(1)
@@ -493,6 +494,7 @@
 sys.exit(main())
 """
     started = subprocess.Popen([sys.executable, "-c", code], stderr=subprocess.PIPE, text=True,
+                               preexec_fn=tied(os.getpid()),
                                env={**os.environ, "EDGE_CONFIG": str(tmp_path / "c.json"),
                                     "EDGE_LISTEN": f"127.0.0.1:{port}"})
     try:
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -25,8 +25,10 @@
 from corkgauge.standins.clients import Ask
 from corkgauge.standins.collector import CollectorStandIn
 from corkgauge.standins.engines import Run
+from corkgauge.standins.parent import tied
 from corkgauge.standins.play import STAKES, WANTS, Play, settings
-from corkgauge.standins.program import Program, free_port
+from corkgauge.standins.ports import free_port
+from corkgauge.standins.program import Program
 from corkgauge.standins.script import Unplayable, read
 from tests.damaged import ALL, ENTRIES, TABLES
 
@@ -64,7 +66,7 @@
         while left and len(running) < 5:
             what = left.pop()
             running[what] = subprocess.Popen([sys.executable, f"{HERE}/damaged.py", "play", what],
-                                             stdout=subprocess.PIPE, text=True)
+                                             stdout=subprocess.PIPE, text=True, preexec_fn=tied(os.getpid()))
         for what, process in [*running.items()]:
             if process.poll() is not None:
                 said[what] = json.loads(running.pop(what).stdout.read())
@@ -255,7 +257,8 @@
     listener = subprocess.Popen([sys.executable, "-m", "corkgauge", "flows", "listen", "--port", str(port),
                                  "--seconds", "3", "--write", str(rows), "--capture",
                                  str(tmp_path / "capture")],
-                                stderr=subprocess.PIPE, text=True, cwd=os.path.dirname(HERE))
+                                stderr=subprocess.PIPE, text=True, cwd=os.path.dirname(HERE),
+                                preexec_fn=tied(os.getpid()))
     assert "listening" in listener.stderr.readline()
     session = Session(Layout("own", "n1"), 7, 1400, 0)
     queue = [Delta(n, EGRESS, 4, bytes(4), 1, bytes(4), 2, f"e{n % 2}", "hall-a", 1000 * n, 1000 * n + 900,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,15 +11,27 @@
 
 from corkgauge.loop.hub import SECOND
 from corkgauge.standins.fleet import Fault, Fleet, Unplayable, drawn, read
+from corkgauge.standins.parent import tied
+from corkgauge.standins.ports import free_port
 
 LEASE = 0.8
 LONG = int(3 * LEASE * SECOND)
 
 
-def fleet_of(**more):
-    fleet = Fleet(**{"lease": LEASE, **more})
-    fleet.start()
-    return fleet
+@pytest.fixture
+def fleet_of():
+    """Begins a fleet, which is closed at the end of its test, passed or failed: no process of it stays."""
+    begun = []
+
+    def begin(started=True, **more):
+        fleet = Fleet(**{"lease": LEASE, **more})
+        begun.append(fleet)
+        if started:
+            fleet.start()
+        return fleet
+    yield begin
+    for fleet in begun:
+        fleet.close()
 
 
 def closing(fleet):
@@ -38,7 +50,7 @@
     return max(span for _, span, *_ in fleet.changes()[changes:]) / SECOND / LEASE
 
 
-def test_a_holder_that_is_cut_off_deaf_or_mute_is_replaced_within_a_lease_and_clients_notice_nothing():
+def test_a_holder_that_is_cut_off_deaf_or_mute_is_replaced_within_a_lease_and_clients_notice_nothing(fleet_of):
     fleet = fleet_of(gateways=5, clients=5, rate=60.0)
     assert fleet.held()
     fleet.until(1)
@@ -62,7 +74,7 @@
     assert not [line for line in closing(fleet) if "out of balance" in line]
 
 
-def test_a_holder_that_stands_still_is_replaced_and_does_nothing_more_when_it_goes_on():
+def test_a_holder_that_stands_still_is_replaced_and_does_nothing_more_when_it_goes_on(fleet_of):
     fleet = fleet_of(gateways=3)
     assert fleet.held()
     for sort in "stop", "stop", "busy":
@@ -75,7 +87,7 @@
     closing(fleet)
 
 
-def test_an_act_that_was_begun_before_a_stop_is_caught_by_its_fence_alone():
+def test_an_act_that_was_begun_before_a_stop_is_caught_by_its_fence_alone(fleet_of):
     for guarded in True, False:
         fleet = fleet_of(gateways=3, off="midact", guarded=guarded)
         stopped = {}
@@ -89,20 +101,18 @@
                         each.troubled.append(fleet.hub.now)
                         fleet.hub.later(LONG, each.program.tell, signal.SIGCONT)
             return len(stopped) < 2
-        try:
-            fleet.until(12, continued)
-            fleet.until(4 * LEASE)
-            found, late = fleet.wrong(), [act for act in fleet.judge.acts if not act.admitted]
-            assert len(stopped) >= 2
-            if guarded:
-                assert found == [] and late
-            else:
-                assert any("was taken" in line for line in found)      # without the fence the judge objects
-        finally:
-            fleet.close()
-
-
-def test_voters_that_all_forget_at_once_keep_silent_and_the_duty_comes_back():
+        fleet.until(12, continued)
+        fleet.until(4 * LEASE)
+        found, late = fleet.wrong(), [act for act in fleet.judge.acts if not act.admitted]
+        assert len(stopped) >= 2
+        if guarded:
+            assert found == [] and late
+        else:
+            assert any("was taken" in line for line in found)      # without the fence the judge objects
+        fleet.close()
+
+
+def test_voters_that_all_forget_at_once_keep_silent_and_the_duty_comes_back(fleet_of):
     fleet = fleet_of(gateways=3)
     assert fleet.held()
     names = [*fleet.gateways]
@@ -120,7 +130,7 @@
     closing(fleet)
 
 
-def test_a_planned_end_hands_over_at_once_and_so_does_an_operators_word():
+def test_a_planned_end_hands_over_at_once_and_so_does_an_operators_word(fleet_of):
     fleet = fleet_of(gateways=3, lease=3.0, each=0.05, period=0.3, disk=True)
     assert fleet.held()
     fleet.until(0.5)
@@ -136,7 +146,7 @@
     closing(fleet)
 
 
-def test_files_that_differ_strangers_and_two_under_one_name(tmp_path):
+def test_files_that_differ_strangers_and_two_under_one_name(fleet_of, tmp_path):
     fleet = fleet_of(gateways=3)
     assert fleet.held()
     # Two processes under one name: the second gets no address, and ends.
@@ -144,8 +154,8 @@
     alike = tmp_path / "operator.xml"
     alike.write_text(re.sub("<figures>.*</figures>", "", fleet.operator(fleet.gateways["n1"])))
     second = subprocess.run([sys.executable, "-m", "corkgauge", "serve", "--operator", str(alike)],
-                            env={**os.environ, "EDGE_CONFIG": twin.config, "EDGE_LISTEN": "127.0.0.1:%d" % free()},
-                            capture_output=True, text=True, timeout=20)
+                            env={**os.environ, "EDGE_CONFIG": twin.config, "EDGE_LISTEN": "127.0.0.1:%d" % free_port()},
+                            capture_output=True, text=True, timeout=20, preexec_fn=tied(os.getpid()))
     assert second.returncode == 2 and "fellows" in second.stderr
     # One with a wrong key is alone, and the others go on.
     key = tmp_path / "key"
@@ -189,11 +199,6 @@
         file.write(fleet.operator(gateway, **options))
 
 
-def free():
-    from corkgauge.standins.program import free_port
-    return free_port()
-
-
 RECORD = """
 import os, signal, sys, time
 signal.signal(signal.SIGTERM, lambda *_: None)      # it does not listen: SIGKILL must end it in time
@@ -204,14 +209,14 @@
 """
 
 
-def test_a_command_runs_at_one_gateway_at_a_time_and_is_dead_when_the_duty_is_over(tmp_path):
+def test_a_command_runs_at_one_gateway_at_a_time_and_is_dead_when_the_duty_is_over(fleet_of, tmp_path):
     fleet, out = fleet_of(gateways=3), tmp_path / "acts"
     assert fleet.held()
     out.touch()
     commands = [subprocess.Popen(
         [sys.executable, "-m", "corkgauge", "duties", "run", f"{fleet.gateways[name].folder}/figures.sock", "nightly",
          "--grace", "0.05", "--margin", "0.1", "--", sys.executable, "-c", RECORD, str(out), name],
-        stdout=subprocess.PIPE, text=True) for name in fleet.gateways]
+        stdout=subprocess.PIPE, text=True, preexec_fn=tied(os.getpid())) for name in fleet.gateways]
     try:
         def lines():
             return [line.split() for line in out.read_text().splitlines()]
@@ -244,10 +249,10 @@
 
 
 @pytest.mark.parametrize("gateways, seconds", [(3, 12), (5, 10)])
-def test_a_short_drill_of_faults_by_chance(gateways, seconds):
+def test_a_short_drill_of_faults_by_chance(fleet_of, gateways, seconds):
     names = [f"n{n}" for n in range(1, gateways + 1)]
     faults = drawn(11, names, seconds, 0.5, 2 * LEASE)
-    fleet = Fleet(seed=11, gateways=gateways, lease=LEASE, faults=faults)
+    fleet = fleet_of(started=False, seed=11, gateways=gateways, faults=faults)
     fleet.run(seconds + 1)
     assert fleet.befallen > 12
     assert fleet.held(15)       # and all is well again afterwards
@@ -271,7 +276,8 @@
     script.write_text("".join(f"at {2 + 2 * n} for 1.9: cut n{n}\n" for n in (1, 2, 3)))     # one of them holds it
     run = [sys.executable, "-m", "corkgauge", "drills", "run", str(script), "--seconds", "9", "--lease", "0.6",
            "--json"]
-    runs = [subprocess.Popen([*run, *more], stdout=subprocess.PIPE, text=True) for more in ([], ["--without", "check"])]
+    runs = [subprocess.Popen([*run, *more], stdout=subprocess.PIPE, text=True, preexec_fn=tied(os.getpid()))
+            for more in ([], ["--without", "check"])]
     said = []
     for process in runs:
         out, _ = process.communicate(timeout=60)
--- a/tests/test_shared_fleet.py
+++ b/tests/test_shared_fleet.py
@@ -1,11 +1,13 @@
 """Several processes that share what they find, faults between them and among them liars; judged by books outside."""
 
+import os
 from concurrent.futures import ProcessPoolExecutor, wait
 
 import pytest
 
 from corkgauge.loop.hub import SECOND
 from corkgauge.standins.fleet import Fault, Fleet
+from corkgauge.standins.parent import tied
 
 SHARED = {"each": 0.2, "octets": 8000}
 FLEETS = []
@@ -162,7 +164,7 @@
 @pytest.fixture(scope="module")
 def scenes():
     """Side by side, but for the calm one: on a machine that is full no fleet is calm, and its figure is of the load."""
-    with ProcessPoolExecutor(6) as pool:
+    with ProcessPoolExecutor(6, initializer=tied(os.getpid())) as pool:
         others = {name: pool.submit(staged, *what) for name, what in SCENES.items() if name != "quiet"}
         wait(others.values())
         yield {**others, "quiet": pool.submit(staged, *SCENES["quiet"])}
--- a/tests/test_works_fleet.py
+++ b/tests/test_works_fleet.py
@@ -1,6 +1,7 @@
 """Several processes of the program, a crew at their doors, faults between them; an inspector outside judges."""
 
 import json
+import os
 import subprocess
 import sys
 from concurrent.futures import ProcessPoolExecutor
@@ -11,6 +12,7 @@
 from corkgauge.standins.crew import Crew
 from corkgauge.standins.fleet import Fault, Fleet
 from corkgauge.standins.inspector import Limits, wrong
+from corkgauge.standins.parent import tied
 from corkgauge.standins.worksday import WorksDay, aimed, most_at_once
 
 LEASE = 0.8
@@ -327,7 +329,7 @@
 @pytest.fixture(scope="module")
 def scenes():
     """All of them side by side: their processes mostly wait."""
-    with ProcessPoolExecutor(6) as pool:
+    with ProcessPoolExecutor(6, initializer=tied(os.getpid())) as pool:
         yield {name: pool.submit(staged, *what) for name, what in SCENES.items()}
 
 
@@ -414,7 +416,8 @@
     where = f"{site.fleet.gateways['n2'].folder}/figures.sock"
 
     def command(*words):
-        process = subprocess.Popen([sys.executable, "-m", "corkgauge", *words], stdout=subprocess.PIPE, text=True)
+        process = subprocess.Popen([sys.executable, "-m", "corkgauge", *words], stdout=subprocess.PIPE, text=True,
+                                   preexec_fn=tied(os.getpid()))
         site.fleet.until(20, lambda: process.poll() is None)
         return process.communicate()[0], process.returncode
     asked = command("works", "ask", where, "engine", "e2", "--owner", "ada", "--within", "2h", "--id", "x1")
