Duties: a slow disk keeps nobody from holding one

The scenes of several processes were red on one machine and green on another of the same kind: 13 of the 16 scenes, with "known" not answered in 20 s and "the plan is forgotten". These 13 are those whose voters keep votes on disk; the three that passed have none. Forced here by letting all writes of votes and plans, of all processes together, pass one at a time at 10 ms each (a disk of 100 writes a second): the same 13 red, each at `known`, 3 green.

Causes in the program, each with a test that fails without its mend: - Every round waited an eighth of a lease for answers, 0.1 s of 0.8 s; a promise that takes longer to write was never heard, however often. After rounds that nobody answered the next waits up to three times that, less before it. Of what comes while the disk is busy the last alone is written, and all answered; the same record is written once for all who wait for it, where each asking again had added a write. - A release wrote a record of its own, before which the successor's promise had to wait. - One told that a duty was given back did not hear it while it was asking, and then waited for the end of the grant that was just given back; it now begins at once, with PREPARE, which a voter that still grants it to another refuses.

Ruled out: ports (36 in 22,000 for a second each), file names, keys and folders (each fleet has its own), lost wishes (nobody held the duty that could have heard them), the processor alone (on four cores, two copies side by side, load 12: all scenes run through).

--- a/corkgauge/duties/holder.py
+++ b/corkgauge/duties/holder.py
@@ -6,7 +6,8 @@
 
 Three rounds to a duty: PROBE (would you? changes nothing: the pre-vote), PREPARE (a ballot above all others),
 GRANT; then GRANT again, several times a lease. Each voter's last grant counts from when that letter was
-written, and the duty is held while a majority's last grants all run: one lost letter costs nothing.
+written, and the duty is held while a majority's last grants all run: one lost letter costs nothing. One that is told
+that the duty was just given back begins with PREPARE.
 """
 
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 WATCHING, PROBING, PREPARING, ASKING, HOLDING = range(5)
 STATES = "watching", "probing", "preparing", "asking", "holding"
 SENT = 64               # letters whose time of writing is remembered
+MOST_REPLY = 3          # spans that voters have for an answer, after rounds that came to nothing
 
 
 class Host(Protocol):
@@ -97,8 +99,12 @@
         """A voter's answer. Anything that makes no sense raises, and changes nothing."""
         sort, _, version, mark, serial = body[:5]
         if sort == VACANT:
-            if self.state == WATCHING and self.wanted:
-                self._watch(1 + self.host.rank(self.duty) * self.span.stagger)
+            # Danger: answers that are on their way tell of the grant that was just given back, and would make us wait
+            # for its end; so a round that only asks is over. Nor is another needed first: a voter that still grants
+            # it to somebody refuses a ballot, and changes nothing.
+            if self.state in (WATCHING, PROBING) and self.wanted:
+                self.state, self.other = WATCHING, ""
+                self._wake(1 + self.host.rank(self.duty) * self.span.stagger, self._vacated)
             return
         if sender not in self.roll.names or (version, mark) != (self.roll.version, self.roll.mark):
             return
@@ -150,6 +156,13 @@
         self.other = ""
         self._round(PROBING, PROBE, 0)
 
+    def _vacated(self) -> None:
+        """It was given back a moment ago."""
+        if self.wanted:
+            self._prepare()
+        else:
+            self._watch(self.span.lease)
+
     def _prepare(self) -> None:
         """Danger: a ballot below one that a voter has promised is lost time; and all may have forgotten, so
         the date keeps fences growing where clocks are right."""
@@ -159,11 +172,21 @@
     def _round(self, state: int, sort: int, ballot: int) -> None:
         self.state, self.said, self.left = state, {}, {}
         self._tell(sort, ballot)
-        self._wake(self.span.reply, self._unanswered)
+        # Danger: where disks or processors take longer than that for a promise, no round would ever be answered in
+        # time; after each that was not, the next is waited for longer, and less before it. A promise is used no later
+        # than a voter remembers it, a lease from its start: at most 3/8 of one here, and half of one in `_give`.
+        self._wake(self.span.reply * self._patience(), self._unheard)
+
+    def _patience(self) -> int:
+        return min(1 + self.tries, MOST_REPLY)
+
+    def _unheard(self) -> None:
+        self._unanswered(self._patience() - 1)
 
-    def _unanswered(self) -> None:
+    def _unanswered(self, waited: int = 0) -> None:
+        """Until the next round; what was waited for answers beyond the first span is part of it."""
         self.tries += 1
-        self._watch(self.span.reply * min(self.tries, 4) + self._pause())
+        self._watch(self.span.reply * (min(self.tries, 4) - waited) + self._pause())
 
     def _ask(self) -> None:
         self.state, self.begun, self.acknowledged = ASKING, self.host.now, {}
--- a/corkgauge/duties/safe.py
+++ b/corkgauge/duties/safe.py
@@ -14,7 +14,9 @@
 
 from corkgauge.configuration import Faulty
 from corkgauge.duties import store
-from corkgauge.loop.hub import READ, WRITE, Hub
+from corkgauge.loop.hub import READ, SECOND, WRITE, Hub
+
+AGAIN = SECOND          # until a record that is not safe yet is written once more, where it is asked for
 
 
 class Safe:
@@ -25,8 +27,8 @@
                  unwritten: str) -> None:
         self.hub, self.log, self.folder, self.unwritten = hub, log, folder, unwritten
         self.helper: subprocess.Popen | None = None
-        self.waiting: dict[int, tuple[Callable[..., None], tuple]] = {}     # records that are not safe yet
-        self.written = 0
+        self.waiting: dict[int, list[tuple[Callable[..., None], tuple]]] = {}   # records that are not safe yet
+        self.written, self.body, self.sent = 0, b"", 0      # the last one: its number, what it is, when it went
         self.rest = b""             # of the frame that the helper's pipe did not take yet
         self.after: bytes | None = None     # the last frame that waits for that
         self.kept: Any = None       # what a folder told; None: nothing, or it was torn
@@ -58,9 +60,16 @@
         helper waits for the disk, and what it does not answer is never said."""
         if self.helper is None:
             return None if self.folder else then(*what)
-        self.written += 1
-        self.waiting[self.written] = then, what
         body = msgpack.packb(record)
+        if body == self.body:
+            # Danger: whoever is not answered yet asks again, and would make a slow disk slower by the same record.
+            if self.written not in self.waiting:
+                return then(*what)
+            if self.hub.now < self.sent + AGAIN:    # one that failed is never answered: written again after a while
+                return self.waiting[self.written].append((then, what))
+        self.written += 1
+        self.body, self.sent = body, self.hub.now
+        self.waiting[self.written] = [(then, what)]
         frame = store.FRAME.pack(self.written, len(body)) + body
         if self.rest:
             # Danger: half a frame would spoil all later ones. The last one that waits holds what those before it did.
@@ -123,5 +132,5 @@
                 # One that failed is never answered; a later one that is safe holds more than it did.
                 for older in [each for each in self.waiting if each < number]:
                     del self.waiting[older]
-                then, what = self.waiting.pop(number, (lambda *_: None, ()))
-                then(*what)
+                for then, what in self.waiting.pop(number, ()):
+                    then(*what)
--- a/corkgauge/duties/store.py
+++ b/corkgauge/duties/store.py
@@ -2,8 +2,9 @@
 the disk.
 
 Owns the file's form and the helper process `python store.py PATH`. The gateway writes a frame to its input,
-and the helper answers with the frame's number once it is safe; only then does the voter say anything. The
-helper ends with its parent: the pipe's end is its own.
+and the helper answers with the frame's number once it is safe; only then does the voter say anything. Each frame
+holds all that those before it did, so of those that came while the disk was busy the last alone is written, and all
+are answered (group commit). The helper ends with its parent: the pipe's end is its own.
 """
 
 import os
@@ -54,23 +55,31 @@
 
 
 def main() -> int:
-    path, source = sys.argv[1], sys.stdin.buffer
-    while True:
-        head = source.read(FRAME.size)
-        if len(head) < FRAME.size:
-            return 0
-        number, length = FRAME.unpack(head)
-        body = source.read(length) if length <= LARGEST else b""
-        if len(body) < length:
-            return 0
+    path, rest = sys.argv[1], b""
+    while data := os.read(0, FRAME.size + LARGEST):
+        rest += data
+        numbers, body, at = list[int](), b"", 0
+        while len(rest) >= at + FRAME.size:
+            number, length = FRAME.unpack_from(rest, at)
+            if length > LARGEST:
+                return 0
+            if len(rest) < at + FRAME.size + length:
+                break
+            numbers.append(number)
+            body, at = rest[at + FRAME.size:at + FRAME.size + length], at + FRAME.size + length
+        if not numbers:
+            continue
+        rest = rest[at:]
         try:
+            # Danger: a slow disk that writes each of them in turn falls ever further behind those who ask again.
             write(path, packed(body))
         except OSError:
             continue        # no answer: the voter says nothing, which is safe
         try:
-            os.write(1, struct.pack("<I", number))
+            os.write(1, b"".join(struct.pack("<I", each) for each in numbers))
         except OSError:
             return 0
+    return 0
 
 
 if __name__ == "__main__":
--- a/corkgauge/duties/voter.py
+++ b/corkgauge/duties/voter.py
@@ -143,7 +143,8 @@
         if (vote.ballot, vote.holder) == (ballot, who):
             # Danger: a grant that was asked for before comes late, and would bind it for a lease to nobody.
             vote.promised, vote.ballot, vote.until = max(vote.promised, ballot + 1), 0, 0
-            self._keep(lambda: None)
+            # Not written by itself: the successor's promise would wait behind it, and holds it. Who forgets it over a
+            # restart counts as granted what was given back, for a lease.
 
     def _keep(self, then: Callable[..., None], *what: Any) -> None:
         self.host.keep({duty: vote.record() for duty, vote in self.votes.items()}, then, *what)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,17 +1,21 @@
 """Duties: votes and grants, lists of voters, every order of events, days with drifting clocks; defences left out."""
 
 import os
+import signal
 import subprocess
 import sys
 
+import msgpack
 import pytest
 
 from corkgauge.duties import preference, store
 from corkgauge.duties.books import FleetBooks, wrong
-from corkgauge.duties.holder import HOLDING, Holder
+from corkgauge.duties.holder import HOLDING, PROBING, Holder
 from corkgauge.duties.roll import Roll, Span, Unsafe
 from corkgauge.duties.running import ENDING, OVER, RUNNING, WAITING, Running
-from corkgauge.duties.voter import GRANT, PREPARE, PROBE, RELEASE, Voter
+from corkgauge.duties.safe import Safe
+from corkgauge.duties.voter import GRANT, PREPARE, PROBE, RELEASE, VACANT, WOULD, Voter
+from corkgauge.loop.hub import Hub
 from corkgauge.model.explore import explore
 from corkgauge.model.leases import FAULTS, LEASE, World, drawn, shortest
 
@@ -199,6 +203,35 @@
         return self
 
 
+def test_a_duty_given_back_while_it_is_asked_for_is_asked_for_again_and_answers_of_before_count_for_nothing():
+    candidate = Candidate()
+    candidate.pass_time(10)
+    holder, booth = candidate.holder, candidate.booth
+    assert holder.state == PROBING
+    late = [[WOULD, "d", 1, ROLL.mark, booth.said[-1][1][4], False, 0, SPAN.granted, "c"] for _ in "ab"]
+    holder.heard("c", [VACANT, "d", 1, ROLL.mark, 0])
+    for voter, body in zip("ab", late):
+        holder.heard(voter, body)
+    candidate.pass_time(10)
+    for _ in range(2):      # a ballot, a grant: nobody has to be asked first
+        candidate.answer("a", "b")
+    assert holder.state == HOLDING
+
+
+def test_after_a_round_that_nobody_answered_in_time_the_next_is_waited_for_longer_up_to_a_bound():
+    candidate, waited = Candidate(), []
+    for _ in range(5):
+        while candidate.holder.state != PROBING:
+            candidate.pass_time(1)
+        begun = candidate.booth.now
+        while candidate.holder.state == PROBING:
+            candidate.pass_time(1)
+        waited.append(candidate.booth.now - begun)
+    assert waited == [SPAN.reply, 2 * SPAN.reply, *[3 * SPAN.reply] * 3]
+    # A promise is used while its voter would still be silent, had it forgotten it.
+    assert waited[-1] + SPAN.held // 2 < SPAN.silent
+
+
 def test_a_duty_is_held_from_before_it_was_asked_for_and_not_a_moment_longer():
     one = Candidate()
     one.pass_time(10)
@@ -363,6 +396,55 @@
     assert gone.stdout == b"" and not os.path.exists(tmp_path / "no")
 
 
+COUNTED = """
+import sys
+from corkgauge.duties import store
+real, sizes = store.write, []
+store.write = lambda path, data: (sizes.append(len(data)), real(path, data))
+code = store.main()
+print(len(sizes), file=sys.stderr)
+sys.exit(code)
+"""
+
+
+def test_what_comes_while_the_disk_is_busy_is_written_once_and_all_of_it_answered(tmp_path):
+    path = str(tmp_path / "votes")
+    frames = b"".join(store.FRAME.pack(n, 4) + b"vo%02d" % n for n in range(1, 41))
+    done = subprocess.run([sys.executable, "-c", COUNTED, path], input=frames, capture_output=True)
+    assert done.stdout == b"".join(n.to_bytes(4, "little") for n in range(1, 41)) and done.returncode == 0
+    assert store.unpacked(open(path, "rb").read()) == b"vo40" and int(done.stderr) <= 2
+
+
+def test_the_same_record_is_written_once_for_all_who_wait_for_it_and_again_where_no_answer_came(tmp_path):
+    hub, said = Hub(), []
+    safe = Safe(hub, said.append, str(tmp_path), "votes", "torn", "unwritten")
+
+    def settled(many):
+        until = hub.now + 10 * SECOND
+        while len(said) < many and hub.now < until:
+            hub.turn(20)
+        return said
+    try:
+        for n in range(5):
+            safe.keep({"d": 1}, said.append, n)
+        assert safe.written == 1 and said == [] and settled(5) == [0, 1, 2, 3, 4]
+        safe.keep({"d": 1}, said.append, 5)
+        assert said[5:] == [5] and safe.written == 1        # it is safe already
+        safe.helper.send_signal(signal.SIGSTOP)
+        safe.keep({"d": 2}, said.append, 6)
+        safe.keep({"d": 2}, said.append, 7)
+        assert safe.written == 2
+        hub.now += SECOND
+        safe.keep({"d": 2}, said.append, 8)
+        assert safe.written == 3 and said[6:] == []
+        safe.helper.send_signal(signal.SIGCONT)
+        assert settled(9)[6:] == [6, 7, 8]
+        assert store.unpacked((tmp_path / "votes").read_bytes()) == msgpack.packb({"d": 2})
+    finally:
+        safe.helper.kill()
+        safe.close()
+
+
 def account(epoch, taken, served, handed, engines=None, open_=0):
     return {"epoch": epoch, "taken": taken, "served": served, "refused": 0, "failed": 0, "open": open_,
             "handed": handed, "engines": handed if engines is None else engines, "ended": handed, "out": 0}
