Scenes of works wait for events, their files lie in memory; a gateway waits to be told by whom it knows to plan

In the program: a gateway that forgot over a restart waited `patience` from its start for orders. Slow to start, it reached its fellows just before that was over, and sent one request to an engine that was out. The span begins anew as it reaches a fellow, and it waits for one that is known to plan, five spans at most; not for one that asks it what it remembers, and serves as before where nobody is there. The test fails without it.

--- a/corkgauge/standins/crew.py
+++ b/corkgauge/standins/crew.py
@@ -100,7 +100,9 @@
         self.hub.later(self.lasting, self.end, work)
 
     def end(self, work: Work) -> None:
-        """The machine runs again, cold; then the crew says so, until somebody has heard."""
+        """The machine runs again, cold; then the crew says so, until somebody has heard. Once, however often."""
+        if work.ended >= 0:
+            return
         if work.members[0] in self.fleet.gateways and not self.fleet.gateways[work.members[0]].program.running():
             return self.hub.later(LOOK, self.end, work)
         if work.members[0] in self.fleet.engines:
--- a/corkgauge/standins/fleet.py
+++ b/corkgauge/standins/fleet.py
@@ -48,6 +48,7 @@
 WITH_FIGURE = "lose", "late", "double"
 RECOVERS = 2 * SECOND   # until a gateway that stood still, or was killed, answers in time again
 AGAIN = 500             # tenths of a millisecond until what ended is started again
+MEMORY, ROOM = "/dev/shm", 256 << 20    # where files take no disk; octets free there, below which it is not used
 
 
 class Unplayable(ValueError):
@@ -149,6 +150,18 @@
 """
 
 
+def in_memory(place: str = MEMORY, room: int = ROOM) -> str | None:
+    """Danger: a gateway says nothing that is not safe on disk, and a disk that others keep busy takes seconds for it
+    (15 s were seen): a scene's verdict would be the disk's. Processes are killed here, never the machine, so memory
+    keeps what a disk would; what the program does with a slow one is forced by `slowdisk` (undefended.py). None: where
+    files usually go."""
+    try:
+        free = os.statvfs(place)
+    except OSError:
+        return None
+    return place if free.f_bavail * free.f_frsize >= room and os.access(place, os.W_OK | os.X_OK) else None
+
+
 class Gateway:
     """One process, and where it is reached."""
 
@@ -173,7 +186,7 @@
                  clients: int = 0, rate: float = 40.0, engines: int = 2, off: str = "none",
                  rates: tuple[float, ...] = (), guarded: bool = True, cold: float = 15.0, **options: Any) -> None:
         self.hub, self.seed, self.chance, self.faults = Hub(), seed, Chance(seed), [*faults]
-        self.folder = tempfile.mkdtemp(prefix="corkgauge-")
+        self.folder = tempfile.mkdtemp(prefix="corkgauge-", dir=in_memory())
         self.lease, self.off, self.rates, self.cold = lease, off, rates, int(cold * SECOND)
         share, _, *rest = STAKES.cold
         self.stakes = replace(STAKES, cold=(share, self.cold, *rest))
--- /dev/null
+++ b/corkgauge/standins/slow_store.py
@@ -0,0 +1,21 @@
+"""The helper that writes votes and plans (`duties/store.py`), before a disk that takes a tenth of a second.
+
+Owns the delay alone. Must never be used but in place of that helper, by `undefended.py`.
+"""
+
+import os
+import sys
+import time
+
+TAKES = 0.1     # seconds, for each write
+
+if __name__ == "__main__":
+    sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))))
+    from corkgauge.duties import store
+    write = store.write
+
+    def slowly(path: str, data: bytes) -> None:
+        time.sleep(TAKES)
+        write(path, data)
+    store.write = slowly
+    sys.exit(store.main())
--- a/corkgauge/works/party.py
+++ b/corkgauge/works/party.py
@@ -19,6 +19,7 @@
 LOOK = 200              # tenths of a millisecond between two looks whether an engine is quiet
 PARTS = 64              # of one set of orders
 ROOM = 500              # octets of closed engines' ids in one word
+MOST_PATIENCE = 5       # spans of patience that a gateway waits at its start, at most
 
 Stamp = tuple[int, int]
 Level = tuple[int, str]     # state of its unit, address under which the list last named it
@@ -54,6 +55,8 @@
         self.gathering: tuple[Stamp, int, dict[int, list[Any]]] = (0, 0), 0, {}
         self.looking = False
         self.refused = 0
+        self.begun, self.met = host.now, -1     # our start, and when we first reached a fellow
+        self.asked = False          # somebody plans who knows no more than we, and asks us
         self.safe: Stamp = 0, 0     # what is written, and so may be said
         self.safe_closed: frozenset[str] = frozenset()
         if kept is not None:
@@ -65,6 +68,23 @@
 
     defended = True         # False leaves the look at the fence out, to show what it is for
 
+    # At its start.
+
+    def waits(self, patience: int, met: bool, planner: str) -> bool:
+        """Is it too early to let anybody in? `patience` is tenths of a millisecond, `met` whether a fellow was reached,
+        `planner` who is known to hold the duty, or empty.
+
+        Danger: a gateway that has forgotten over a restart, or remembers what was true before it, would send to a
+        machine that is out. So it waits for somebody to tell it, for a moment after its start and after it has reached
+        a fellow, as either may be slow, and for one that is known to plan; but it serves all the same where nobody is
+        there or nobody knows, and after five such moments whatever is."""
+        now = self.host.now
+        if self.told or now >= self.begun + MOST_PATIENCE * patience:
+            return False
+        if met and self.met < 0:
+            self.met = now
+        return now < max(self.begun, self.met) + patience or (bool(planner) and not self.asked)
+
     # Orders.
 
     def ordered(self, fence: int, number: int, echo: int, part: int, parts: int, said: Mapping[str, int]) -> bool:
--- a/corkgauge/works/yard.py
+++ b/corkgauge/works/yard.py
@@ -55,7 +55,6 @@
         self.copy: tuple[tuple[int, int], Plan, dict[str, str]] = (0, 0), Plan(), {}
         self.fetch: Fetch | None = None
         self.party: Party | None = None     # it looks at us as it begins
-        self.begun = boot_time()
         drift = 1 + 2 * office.span.drift
         expiry = max(each.expiry for each in house.stated.offerings)
         self.safe = Safe(self.hub, house.log, office.said.folder, f"{self.name}.works",
@@ -87,10 +86,9 @@
         self.house.works = None
 
     def waiting(self) -> bool:
-        """Danger: a gateway that has forgotten over a restart, or remembers what was true before it, would send to a
-        machine that is out. So nobody is let in until somebody has told it, or for a moment; it serves all the same
-        where nobody is there."""
-        return not self.party.told and boot_time() < self.begun + self.said.patience
+        """Is nobody let in yet?"""
+        planner = self._holder()
+        return self.party.waits(self.said.patience, self.company.met, planner if planner != self.name else "")
 
     # The duty.
 
@@ -277,6 +275,7 @@
             else:
                 self._say(sender, ["no", self.party.stamp[0]])
         elif what == "tell":
+            self.party.asked = True
             self._word(sender)
         elif what == "word":
             serial, fence, number, blank, closed, many, loads, unwell, free = rest
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,7 +10,7 @@
 import pytest
 
 from corkgauge.loop.hub import SECOND
-from corkgauge.standins.fleet import Fault, Fleet, Unplayable, drawn, read
+from corkgauge.standins.fleet import Fault, Fleet, Unplayable, drawn, in_memory, read
 from corkgauge.standins.parent import tied
 from corkgauge.standins.ports import free_port
 
@@ -271,6 +271,11 @@
             read(line, names, ["e1"])
 
 
+def test_a_rig_keeps_its_files_in_memory_where_there_is_room_for_them(tmp_path):
+    assert in_memory(str(tmp_path), 1) == str(tmp_path)
+    assert in_memory(str(tmp_path), 1 << 62) is None and in_memory(str(tmp_path / "none"), 1) is None
+
+
 def test_drills_by_command_and_a_judge_that_objects(tmp_path):
     script = tmp_path / "day.txt"
     script.write_text("".join(f"at {2 + 2 * n} for 1.9: cut n{n}\n" for n in (1, 2, 3)))     # one of them holds it
--- a/tests/test_works.py
+++ b/tests/test_works.py
@@ -457,6 +457,31 @@
     assert one.how("e1b", "h:1") == 2
 
 
+def test_at_its_start_a_gateway_waits_until_it_is_told_and_serves_where_nobody_tells():
+    span, (desk, one) = 5_000, party()
+    assert one.waits(span, False, "")
+    desk.pass_time(span)
+    assert not one.waits(span, False, "")       # nobody is there
+    desk, one = party()
+    desk.pass_time(4_000)                       # a slow start: whoever was reached just now has had no time to tell
+    assert one.waits(span, True, "")
+    desk.pass_time(span - 1)
+    assert one.waits(span, True, "")
+    desk.pass_time(1)
+    assert not one.waits(span, True, "")        # nobody plans
+    assert one.waits(span, True, "n2")          # n2 does, and is slow
+    one.asked = True
+    assert not one.waits(span, True, "n2")      # it knows no more than we
+    one.asked = False
+    desk.pass_time(5 * span - 9_001)
+    assert one.waits(span, True, "n2")
+    desk.pass_time(1)
+    assert not one.waits(span, True, "n2")      # whatever is, we serve
+    desk, one = party()
+    one.ordered(7, 1, 0, 0, 1, {"e1": OUT})
+    assert not one.waits(span, True, "n2")
+
+
 def test_a_word_names_in_turn_what_does_not_fit():
     desk, one = party()
     tags = {f"engine-with-a-long-name-{n:03}": OUT for n in range(60)}
