--- a/corkgauge/standins/fleet.py
+++ b/corkgauge/standins/fleet.py
@@ -36,17 +36,19 @@
 from corkgauge.standins.engines import EngineStandIn
 from corkgauge.standins.feed import FeedStandIn
 from corkgauge.standins.judge import Judge, vacancies, verdict
+from corkgauge.standins.parent import tied
 from corkgauge.standins.play import CORES, HALLS, KINDS, STAKES, WANTS, WORK, settings
+from corkgauge.standins.ports import Reserved
 from corkgauge.standins.program import Program
 from corkgauge.standins.relay import Passage, Way
 
 JUDGE = "judge"
-LOWEST, PORTS = 10_240, 22_000      # below what systems hand out
 SORTS = ("stop", "kill", "end", "cut", "deaf", "mute", "part", "lose", "late", "double", "replay", "busy", "yield",
          "engine")
 WITH_FIGURE = "lose", "late", "double"
 RECOVERS = 2 * SECOND   # until a gateway that stood still, or was killed, answers in time again
 AGAIN = 500             # tenths of a millisecond until what ended is started again
+MEMORY, ROOM = "/dev/shm", 256 << 20    # where files take no disk; octets free there, below which it is not used
 
 
 class Unplayable(ValueError):
@@ -148,20 +150,16 @@
 """
 
 
-def held_ports() -> list[socket.socket]:
-    """A TCP and a UDP socket, each at a port of its own. Danger: one that the system hands out may go to an outgoing
-    connection while the process that listens there is down; so they lie below those, and are held until all start."""
-    found = []
-    for sort in socket.SOCK_STREAM, socket.SOCK_DGRAM:
-        while True:
-            sock = socket.socket(socket.AF_INET, sort)
-            try:
-                sock.bind(("127.0.0.1", LOWEST + secrets.randbelow(PORTS)))
-                found.append(sock)
-                break
-            except OSError:
-                sock.close()
-    return found
+def in_memory(place: str = MEMORY, room: int = ROOM) -> str | None:
+    """Danger: a gateway says nothing that is not safe on disk, and a disk that others keep busy takes seconds for it
+    (15 s were seen): a scene's verdict would be the disk's. Processes are killed here, never the machine, so memory
+    keeps what a disk would; what the program does with a slow one is forced by `slowdisk` (undefended.py). None: where
+    files usually go."""
+    try:
+        free = os.statvfs(place)
+    except OSError:
+        return None
+    return place if free.f_bavail * free.f_frsize >= room and os.access(place, os.W_OK | os.X_OK) else None
 
 
 class Gateway:
@@ -171,8 +169,8 @@
         self.fleet, self.name, self.hall = fleet, f"n{number}", HALLS[number % 2]
         self.folder = os.path.join(fleet.folder, self.name)
         os.mkdir(self.folder)
-        self.reserved = held_ports()
-        self.address, self.listen = (sock.getsockname() for sock in self.reserved)
+        self.reserved = [Reserved(sort) for sort in (socket.SOCK_STREAM, socket.SOCK_DGRAM)]
+        self.address, self.listen = (each.address for each in self.reserved)
         self.program: Any = None
         self.burner: subprocess.Popen | None = None
         self.troubled: list[int] = []       # when it was stopped, killed or kept from its processor
@@ -188,7 +186,7 @@
                  clients: int = 0, rate: float = 40.0, engines: int = 2, off: str = "none",
                  rates: tuple[float, ...] = (), guarded: bool = True, cold: float = 15.0, **options: Any) -> None:
         self.hub, self.seed, self.chance, self.faults = Hub(), seed, Chance(seed), [*faults]
-        self.folder = tempfile.mkdtemp(prefix="corkgauge-")
+        self.folder = tempfile.mkdtemp(prefix="corkgauge-", dir=in_memory())
         self.lease, self.off, self.rates, self.cold = lease, off, rates, int(cold * SECOND)
         share, _, *rest = STAKES.cold
         self.stakes = replace(STAKES, cold=(share, self.cold, *rest))
@@ -284,8 +282,8 @@
 
     def start(self) -> None:
         for gateway in self.gateways.values():
-            for sock in gateway.reserved:
-                sock.close()
+            for each in gateway.reserved:
+                each.release()
         for gateway in self.gateways.values():
             gateway.program.start()
         self.begun = self.hub.now
@@ -328,6 +326,8 @@
                 gateway.program.tell(signal.SIGCONT)
                 gateway.program.tell(signal.SIGKILL)
                 gateway.program.process.wait()
+            for each in gateway.reserved:
+                each.end()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     # Faults.
@@ -403,7 +403,8 @@
         if on and gateway.program.running():
             core = [*os.sched_getaffinity(0)][-1]
             os.sched_setaffinity(gateway.program.process.pid, {core})
-            gateway.burner = subprocess.Popen([sys.executable, "-c", "while True: pass"])
+            gateway.burner = subprocess.Popen([sys.executable, "-c", "while True: pass"],
+                                              preexec_fn=tied(os.getpid()))
             os.sched_setaffinity(gateway.burner.pid, {core})
         elif gateway.program.running():
             os.sched_setaffinity(gateway.program.process.pid, os.sched_getaffinity(0))
@@ -436,7 +437,8 @@
                    "ask(sys.argv[1], sys.argv[2], sys.argv[3], 5.0, json.loads(sys.argv[4]))))",
                    f"{self.gateways[name].folder}/figures.sock", target, "POST" if body else "GET",
                    json.dumps(body)]
-        process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+                                   preexec_fn=tied(os.getpid()))
         self.until(10, lambda: process.poll() is None)
         out, wrong = process.communicate()
         if process.returncode:
--- a/corkgauge/standins/wide.py
+++ b/corkgauge/standins/wide.py
@@ -5,7 +5,6 @@
 is judged is what the engines saw. Must never send to any address but loopback ones.
 """
 
-import secrets
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from typing import Any
@@ -21,26 +20,21 @@
 from corkgauge.standins.fleet import Fleet, Gateway
 from corkgauge.standins.listener import Listener
 from corkgauge.standins.play import CORES, HALLS, KINDS, WANTS, settings
+from corkgauge.standins.ports import free_port
 from corkgauge.standins.program import Program
 from corkgauge.stated import Stated
 
 FEW_KIND, FEW_CORES = "x12", 12     # a kind that few engines are of; reports run on it alone
 COLD = 0.05, 1.0, SECOND + SECOND // 2      # share, multiple and time to fall of an engine that has just started
-LOWEST, PORTS = 2_048, 8_000        # below those of gateways
 MISSING = -1                        # a gateway whose settings name no number
 
 
 def settled(listener: Listener) -> None:
-    """Danger: a port that the system hands out may go to an outgoing connection while its engine is gone, and gateways'
-    ports are let go for a moment as they start; so engines have theirs below both."""
+    """Danger: a port that the system hands out may go to an outgoing connection, or to another rig, while its engine is
+    gone; so engines have ports that other rigs heed."""
     listener.close()
-    while listener.sock is None:
-        listener.address = "127.0.0.1", LOWEST + secrets.randbelow(PORTS)
-        try:
-            listener.open()
-        except OSError:
-            listener.sock.close()
-            listener.sock = None
+    listener.address = "127.0.0.1", free_port()
+    listener.open()
 
 
 class WideFeed(FeedStandIn):
