Scale, a workload manager alone: statement, list, memory, turn and start by sizes

Ruled out: the tests' yard, whose list of timers is searched for each and would be measured with the module.

--- /dev/null
+++ b/corkgauge/standins/hollow_serve.py
@@ -0,0 +1,115 @@
+"""The real program before many databases that are one process: a list of any length, a few listeners behind it.
+
+Owns one child process and the cast around it: stand-in databases that share their listeners, a feed, clients. Must
+never send to any address but loopback ones; its child ends with it.
+"""
+
+import json
+import os
+import shutil
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+from corkgauge.loop.hub import SECOND, Hub
+from corkgauge.standins import hollow_one
+from corkgauge.standins.clients import ClientStandIn, Want
+from corkgauge.standins.engines import EngineStandIn
+from corkgauge.standins.feed import FeedStandIn
+from corkgauge.standins.machines import ready_question
+from corkgauge.standins.parent import tied
+from corkgauge.standins.program import Program, free_port
+
+LISTENERS, CLIENTS = 8, 8
+CORES = 10_000      # of a listener, which stands for many databases: its pace stays that of the work alone
+WANTS = [Want("lookup", 0.66, 3_000, 2.0), Want("report", 0.12, 6_000, 60.0),
+         Want("load", 0.12, 3_000, 10.0, labelled=True, ordered=True), Want("once", 0.10, 3_000, 5.0)]
+
+
+class Tied(Program):
+    """`serve`, killed when the process that started it ends in whichever way."""
+
+    def start(self) -> None:
+        with open(self.config, "w", encoding="utf-8") as file:
+            json.dump(self.said, file)
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, *self.start_with, *self.arguments], stdout=log, stderr=log,
+                stdin=subprocess.DEVNULL, cwd=self.tree, preexec_fn=tied(os.getpid()),
+                env={**os.environ, "EDGE_CONFIG": self.config, "EDGE_LISTEN": "", "PYTHONDONTWRITEBYTECODE": "1"})
+
+    def spent(self) -> float:
+        """Seconds of processor time so far, to the nanosecond; the program has one thread."""
+        with open(f"/proc/{self.process.pid}/schedstat", "rb") as file:
+            return int(file.read().split()[0]) / 1e9
+
+
+class Serve:
+    """The program with `engines` in the list that it starts from."""
+
+    def __init__(self, engines: int, seed: int = 7, start: tuple[str, ...] = ("-m", "corkgauge")) -> None:
+        self.hub, self.folder = Hub(), tempfile.mkdtemp(prefix="corkgauge-")
+        means = {each.name: each.work / 10 for each in hollow_one.CLASSES}
+        known: dict[str, int] = {}
+        self.engines = [EngineStandIn(self.hub, f"listener{n}", "k0", "zone-0", CORES, means, seed * 100 + n, known)
+                        for n in range(min(LISTENERS, engines))]
+        self.feed = FeedStandIn(self.hub)
+        self.address = "127.0.0.1", free_port()
+        first = hollow_one.listing(1, engines, address=lambda n: self.engines[n % len(self.engines)].address)
+        self.feed.version, self.feed.events = 1, [first]
+        self.program = Tied(self.folder, hollow_one.configuration(
+            engines, "%s:%d" % self.address, self.feed.address, first), start=start)
+        self.clients: list[ClientStandIn] = []
+
+    def ready(self, patience: float = 60.0) -> tuple[float, float]:
+        """Start it: wall and processor seconds until it tells a client that it is ready."""
+        begun = time.monotonic()
+        self.program.start()
+        while time.monotonic() < begun + patience and self.program.running():
+            try:
+                with socket.create_connection(self.address, 0.5) as sock:
+                    sock.settimeout(patience)
+                    sock.sendall(ready_question())
+                    answer = sock.recv(64)
+                    if len(answer) >= 10 and answer[9] == 1:
+                        return time.monotonic() - begun, self.program.spent()
+            except OSError:
+                pass
+            time.sleep(0.002)
+        raise RuntimeError("never ready: " + " | ".join(self.program.log()[-3:]))
+
+    def until(self, seconds: float) -> None:
+        """Play the cast's part for so long."""
+        until = self.hub.now + int(seconds * SECOND)
+        while self.hub.now < until:
+            self.hub.turn(min((until - self.hub.now) / 10, 20))
+
+    def begin(self, rate: float) -> None:
+        """Clients come and ask, so many statements a second in all."""
+        self.clients = [ClientStandIn(self.hub, self.address, WANTS, f"t{n % hollow_one.TENANTS}", rate / CLIENTS,
+                                      70_000 + n) for n in range(CLIENTS)]
+
+    def asked(self) -> int:
+        return sum(len(client.book) for client in self.clients)
+
+    def tally(self) -> dict[str, int]:
+        said: dict[str, Any] = {}
+        for client in self.clients:
+            for name, count in client.tally().items():
+                said[name] = said.get(name, 0) + count
+        return said
+
+    def close(self) -> None:
+        for client in self.clients:
+            client.stop()
+        self.until(0.05)
+        if self.program.running():
+            self.program.end(2.0)
+        for engine in self.engines:
+            engine.listener.close()
+        self.feed.listener.close()
+        self.until(0.02)
+        shutil.rmtree(self.folder, ignore_errors=True)
