--- a/corkgauge/standins/hollow_one.py
+++ b/corkgauge/standins/hollow_one.py
@@ -76,8 +76,8 @@
                                    kinds=each.kinds) for each in CLASSES]
         self.gateway = Gateway(
             self, seed=seed, number=seed % gateways, gateways=gateways, tick=10, offerings=self.offerings,
-            cancels=False, copies=True, most_handoffs=6, come_back=0, cold_share=0.33, cold_span=15 * SECOND, fall_multiple=3.0,
-            fall_span=15_000, extra_floor=3.0, extra_share=0.1, extra_span=5 * SECOND, settle=3_000)
+            cancels=False, copies=True, most_handoffs=6, come_back=0, cold_share=0.33, cold_span=15 * SECOND,
+            fall_multiple=3.0, fall_span=15_000, extra_floor=3.0, extra_share=0.1, extra_span=5 * SECOND, settle=3_000)
         self.engines = [Engine(f"db{n}", b"db%d" % n, n % ZONES, n % KINDS, n, cores=cores, name=f"db{n}")
                         for n in range(engines)]
         for engine in self.engines:
