--- a/benchmarks/scale_alone.py
+++ b/benchmarks/scale_alone.py
@@ -102,6 +102,22 @@
                       lambda n: decision(run, 40, gateways=n), 870)]
 
 
+def by_ratio(run: Run) -> list[dict[str, Any]]:
+    """Paired: what stands beside each other in one run is disturbed alike."""
+    rows = []
+    for key, groups, part in ("alone.decision.ratio", TABLE_GROUPS, 1), ("alone.decision.ratio.one_group", 1, 5):
+        brief, ratios = Run(run.quick, run.full, run.engines, run.command), []
+        brief.window = run.window // part
+        for _ in range(1 if run.quick else 3):
+            gc.collect()
+            few = decision(brief, 40, groups=groups)
+            ratios.append(decision(brief, run.engines, groups=groups) / few)
+        print(f"{key}: {', '.join(f'{each:.2f}' for each in ratios)}", file=sys.stderr, flush=True)
+        what = f"a decision before {run.engines} engines over one before 40, in turn; table groups: {groups}"
+        rows.append(single(key, what, "times", "engines", run.engines, ratios, "measured", run.command))
+    return rows
+
+
 def change(engines: int) -> float:
     """ms: one engine leaves the list, and the next statement of every table group, less what those cost anyway."""
     alone, spent = Alone(engines), []
@@ -160,7 +176,8 @@
 
 
 def by_rate(run: Run) -> list[dict[str, Any]]:
-    what = "processor of the serving process a statement, whole, on real frames, 40 engines, as above, by how many come"
+    what = ("processor of the serving process a statement, whole, on real frames, 40 engines, by how many come; else "
+            "as alone.statement.sockets")
     return [run.slope("alone.statement.rate", what, "ms", "statements a second", (50, 200, 500, 1_000),
                       lambda n: on_sockets(run, 40, n), int(RATE), check=None)]
 
@@ -420,7 +437,7 @@
 PARTS: dict[str, Callable[[Run], list[dict[str, Any]]]] = {
     "alone.decision.engines": by_engines, "alone.decision.engines.one_group": by_engines_one_group,
     "alone.decision.tenants": by_tenants, "alone.decision.open": by_open, "alone.decision.gateways": by_gateways,
-    "alone.decision.change": by_change,
+    "alone.decision.ratio": by_ratio, "alone.decision.change": by_change,
     "alone.statement.sockets": by_sockets, "alone.statement.rate": by_rate,
     "alone.list": by_list, "alone.memory": by_memory,
     "alone.turn.descriptors": by_turn, "alone.ready.engines": by_ready, "alone.profile": by_profile,
@@ -436,9 +453,12 @@
 @click.option("--suffix", default="", metavar="TEXT", help="Keep the rows under keys that end so too, as .before.")
 def command(as_json: bool, rows: tuple[str, ...], quick: bool, full: bool, engines: int, suffix: str) -> None:
     """One workload manager, alone: slopes of its cost, kept in docs/capacity/alone.json."""
-    wanted = [key for each in rows for key in each.split(",") if key] or [*PARTS]
-    if unknown := [key for key in wanted if key not in PARTS]:
-        raise click.UsageError(f"--rows: no {unknown[0]!r}; there are {', '.join(PARTS)}")
+    asked = [key for each in rows for key in each.split(",") if key] or [*PARTS]
+    wanted: dict[str, None] = {}
+    for key in asked:   # a row of a part that measures several is measured with the others
+        if not (parts := [part for part in PARTS if key == part or key.startswith(part + ".")]):
+            raise click.UsageError(f"--rows: no {key!r}; there are {', '.join(PARTS)}")
+        wanted[max(parts, key=len)] = None
     bounded(2, 200 + 0.2 * engines)
     said = " ".join(["python benchmarks/scale.py alone", *(f"--rows {key}" for key in rows),
                      *(["--full"] if full else []), *([f"--engines {engines}"] if engines != FULL else []),
