--- a/benchmarks/scale_alone.py
+++ b/benchmarks/scale_alone.py
@@ -280,7 +280,9 @@
             front.turn(8)
         size = held(lambda: grow)
         if len(front.house.names) != count:
-            raise RuntimeError(f"{len(front.house.names)} open of {count}")
+            raise RuntimeError(f"{len(front.house.names)} open of {count}; counters {dict(front.house.counters)}, "
+                               f"open {[len(each.open) for each in front.house.callers]}, "
+                               f"unread {[len(each.link.machine.inward) for each in front.house.callers]}")
         return size
     finally:
         front.close()
