Hollow workload managers: the objects of several processes, many in one, on loopback datagrams

A question at 870 members cannot be asked of 870 processes on one machine. Society, Office, Yard and Exchange are those of service; the house beside them has no clients, queues or links. Ruled out: one simulated clock for all (model/company.py stays for what takes an hour), since it has no sockets whose buffers overflow.

--- /dev/null
+++ b/corkgauge/standins/hollow.py
@@ -0,0 +1,298 @@
+"""Hollow workload managers: what several of them are to each other, without what serves.
+
+Owns one member's sealed datagrams on a loopback socket, its timers and its counters. The objects are those of service
+(Society, Office, Yard, Exchange); the house beside them has no clients, no queues and no links to engines. Must never
+decide anything for them, never stretch a span of theirs, and never send to any address but loopback ones.
+"""
+
+import json
+import socket
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from struct import unpack_from
+from types import SimpleNamespace
+from typing import Any
+
+from corkgauge.duties.office import Office
+from corkgauge.fellows.company import ALIVE, STATES, SUSPECTED, UNKNOWN, Fellow
+from corkgauge.fellows.society import Society
+from corkgauge.figures.ledger import Ledger
+from corkgauge.loop.hub import SECOND, Hub
+from corkgauge.operator import Duties, Fellows, Shared, Works
+from corkgauge.shared.exchange import Exchange
+from corkgauge.standins.play import settings
+from corkgauge.stated import Stated
+from corkgauge.works.yard import Yard
+
+KEY = b"hollow workload managers, no secret"
+SORTS = "hello", "back", "ask", "answer", "ask_for", "deaf", "ask_all", "tell", "call"
+SO_TIMESTAMPNS = 35     # asm-generic/socket.h: when the kernel had a datagram, socket(7)
+NOTED = 200_000         # arrivals that a voter's wire remembers
+ELEMENTS = "duties", "works", "shared"
+
+
+class Wire:
+    """A member's bound socket, with a count of what passes and a filter on whom it reaches. It outlives the member, so
+    that a restart finds the same port; `noted` keeps when each datagram came, tenths of a millisecond of the date."""
+
+    def __init__(self) -> None:
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(("127.0.0.1", 0))
+        self.port = self.sock.getsockname()[1]
+        self.out, self.octets_out, self.got, self.octets_in, self.held_back = 0, 0, 0, 0, 0
+        self.noted: deque[int] | None = None
+        self.group, self.groups = 0, dict[int, int]()       # of this port; of those ports that are in another group
+
+    def note(self) -> None:
+        """From now on it keeps when the kernel had each datagram."""
+        self.sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+        self.noted = deque(maxlen=NOTED)
+
+    def fileno(self) -> int:
+        return self.sock.fileno()
+
+    def close(self) -> None:
+        """The member has ended; the port stays ours."""
+
+    def drained(self) -> None:
+        """Danger: what came while nobody was there would meet the next start of the member."""
+        try:
+            while True:
+                self.sock.recv(1)
+        except BlockingIOError:
+            pass
+
+    def recv(self, most: int) -> bytes:
+        if self.noted is None:
+            data = self.sock.recv(most)
+        else:
+            data, beside, *_ = self.sock.recvmsg(most, 64)
+            for _, _, stamp in beside:
+                seconds, rest = unpack_from("qq", stamp)
+                self.noted.append(seconds * SECOND + rest // 100_000)
+        self.got += 1
+        self.octets_in += len(data)
+        return data
+
+    def sendto(self, data: bytes, where: tuple[str, int]) -> None:
+        if self.groups.get(where[1], 0) != self.group:
+            self.held_back += 1
+            return
+        self.out += 1
+        self.octets_out += len(data)
+        self.sock.sendto(data, where)
+
+    def worst(self, span: int) -> int:
+        """Most datagrams that came within `span` tenths of a millisecond, of those noted; and forgets them."""
+        most, first, noted = 0, 0, sorted(self.noted or ())
+        for n, when in enumerate(noted):
+            while noted[first] <= when - span:
+                first += 1
+            most = max(most, n + 1 - first)
+        if self.noted is not None:
+            self.noted.clear()
+        return most
+
+
+class Beat:
+    """A hub as one member sees it: once the member is lost none of its timers runs, and the processor time of what
+    does run is added up (nanoseconds)."""
+
+    def __init__(self, hub: Hub) -> None:
+        self.hub, self.lost, self.spent, self.mark = hub, False, 0, 0
+        self.date, self.ahead = hub.date, hub.ahead
+
+    @property
+    def now(self) -> int:
+        return self.hub.now
+
+    def later(self, delay: int, method: Callable[..., None], *what: Any) -> None:
+        self.hub.later(delay, self._run, method, what)
+
+    def _run(self, method: Callable[..., None], what: tuple) -> None:
+        if self.lost:
+            return
+        begun = time.thread_time_ns()
+        try:
+            method(*what)
+        finally:
+            self.spent += time.thread_time_ns() - begun
+
+    def spawn(self, method: Callable[..., None], *what: Any) -> None:
+        self.mark = time.thread_time_ns()
+        self.hub.spawn(method, *what)
+
+    def wait(self, fd: int, mask: int, until: int | None = None) -> int:
+        self.spent += time.thread_time_ns() - self.mark if self.mark else 0
+        found = self.hub.wait(fd, mask, until)
+        self.mark = time.thread_time_ns()
+        return found
+
+    def wake(self, fd: int, events: int = 0) -> None:
+        self.hub.wake(fd, events)
+
+    def troubled(self) -> None:
+        self.hub.troubled()
+
+
+class HollowHouse:
+    """What a serving host is to the subsystems of several processes, with nothing to serve."""
+
+    def __init__(self, beat: Beat, wire: Wire, post: Any, log: Callable[[str], None]) -> None:
+        self.hub, self.wire, self.log, self.routes = beat, wire, log, {}
+        self.stations: dict[str, Any] = {}
+        self.names: dict[str, Any] = {}
+        self.works: Any = None
+        self.stated = Stated(post.settings, self, post.seed)
+        self.gateway = self.stated.gateway
+        self.offerings = {each.name: each for each in self.stated.offerings}
+        self.ledger = Ledger(self.offerings, lambda: beat.now, self.stated.budget)
+
+    @property
+    def now(self) -> int:
+        return self.hub.now
+
+    lag = 0
+
+    def wake(self, delay: int, method: Callable[..., None], *what: Any) -> None:
+        """The module's own timers: nothing is served, so nothing of it runs."""
+
+
+class HollowSociety(Society):
+    """The society of service, on a socket that was bound before; who became what is noted."""
+
+    def _bind(self, said: Fellows) -> None:
+        self.sock = self.house.wire
+        self.became = Counter[str]()
+        self.short = len(said.fellows) - 1      # members that it does not hold alive
+        self.settled = 0                        # when that came to be none
+
+    def changed(self, fellow: Fellow, before: int) -> None:
+        self.became[f"{STATES[before]} {STATES[fellow.state]}"] += 1
+        self.short += (before == ALIVE) - (fellow.state == ALIVE)
+        if not self.short:
+            self.settled = self.hub.now
+        super().changed(fellow, before)
+
+
+class SetAside(Office):
+    """On a machine set aside: it votes, and stands for nothing."""
+
+    def _wanted(self, duty: str) -> bool:
+        return False
+
+
+class Member:
+    """One hollow workload manager, or one voter on a machine set aside. `roster` is JSON, [[name, port, zone], ...];
+    `elements` of those that an operator file may have."""
+
+    def __init__(self, hub: Hub, name: str, wire: Wire, roster: str, voters: tuple[str, ...], number: int,
+                 elements: tuple[str, ...] = ELEMENTS, lines: Callable[[str], None] | None = None) -> None:
+        self.name, self.wire, self.beat = name, wire, Beat(hub)
+        self.kinds_out, self.octets_by, self.kinds_in = Counter[str](), Counter[str](), Counter[str]()
+        self.changes: list[dict[str, Any]] = []
+        # Read anew for each: in service each process holds its own roster.
+        fellows = tuple((each, ("127.0.0.1", port), zone) for each, port, zone in json.loads(roster))
+        wire.drained()
+        post = SimpleNamespace(name=name, seed=number * 7919 + hub.now % 7919, settings=settings() | {
+            "instances": max(len(fellows) - len(voters), 1), "myNumber": 0})
+        house = HollowHouse(self.beat, wire, post, lines or (lambda line: None))
+        self.society = HollowSociety(house, post, Fellows((KEY,), fellows, None, SECOND // 2))
+        company = self.society.company
+        self._counted(company.letters)
+        self.office: Office | None = None
+        self.yard: Yard | None = None
+        self.exchange: Exchange | None = None
+        if "duties" in elements:    # spans as an operator file that names none has them
+            said = Duties(1, voters, (("books", "books", 5 * SECOND),), 5 * SECOND, 5 * SECOND, SECOND // 4, 0.01, "")
+            self.office = (SetAside if name in voters else Office)(house, post, said, self.society)
+        if "works" in elements and self.office is not None:
+            self.yard = Yard(house, post, Works((4, 0.25, 0.5, 0.5, 0.7, 1, 1), (), SECOND // 2, 5 * SECOND, SECOND),
+                             self.society, self.office)
+        if "shared" in elements:
+            self.exchange = Exchange(house, post, Shared(SECOND // 4, 8_000), self.society)
+        if name in voters and self.office is not None:
+            for holder in self.office.holders.values():
+                holder.stand(False)
+
+    def _counted(self, letters: Any) -> None:
+        """By sort, and by subject where another subsystem sends."""
+        write, opened = letters.write, letters.open
+
+        def written(to: str, sort: int, body: Any, known_as: int = 0) -> bytes:
+            data = write(to, sort, body, known_as)
+            kind = body[0] if SORTS[sort] == "call" else SORTS[sort]
+            self.kinds_out[kind] += 1
+            self.octets_by[kind] += len(data)
+            return data
+
+        def read(data: bytes, now: int) -> Any:
+            found = opened(data, now)
+            if found is not None:
+                sort, body = found[1:]
+                self.kinds_in[body[0] if SORTS[sort] == "call" else SORTS[sort]] += 1
+            return found
+        letters.write, letters.open = written, read
+
+    def end(self) -> None:
+        """In order, as a restart of the program does: duties are handed over, a few are told."""
+        if self.office is not None:
+            self.office.leave()
+            self.office.end()
+        self.society.end()
+        self.lose()
+
+    def lose(self) -> None:
+        """The machine is gone: nothing more is said, nothing is done."""
+        self.beat.lost = True
+        self.society.sock = None
+        self.beat.wake(self.wire.fileno())
+
+    # What a coordinator may ask.
+
+    def unknown(self) -> int:
+        """Members that it does not hold alive."""
+        return self.society.short
+
+    def holds(self, names: list[str], alive: bool) -> bool:
+        """Are all of these, but ourselves, alive (or none of them, not even suspected) by its view?"""
+        fellows = self.society.company.fellows
+        if alive:
+            return all(fellows[name].state == ALIVE for name in names if name in fellows)
+        return not any(fellows[name].state in (ALIVE, SUSPECTED, UNKNOWN) for name in names if name in fellows)
+
+    def duties(self) -> list[str]:
+        return [] if self.office is None else [each.duty for each in self.office.holders.values() if each.may()]
+
+    def counters(self) -> dict[str, Any]:
+        wire, company = self.wire, self.society.company
+        return {"out": wire.out, "octets_out": wire.octets_out, "in": wire.got, "octets_in": wire.octets_in,
+                "held_back": wire.held_back, "spent": self.beat.spent, "unknown": self.unknown(),
+                "duties": self.duties(), "kinds_out": dict(self.kinds_out), "octets_by": dict(self.octets_by),
+                "kinds_in": dict(self.kinds_in), "became": dict(self.society.became),
+                "refused": dict(company.letters.counts), "health": company.health,
+                "late": company.counts["late ourselves"], "unsent": self.society.unsent,
+                "overloaded": self.office is not None and self.office.overloaded,
+                "changes": [] if self.office is None else self.office.changes[-20:],
+                "books": self._books()}
+
+    def _books(self) -> list[dict[str, Any]]:
+        clerk = self.office.clerks.get("books") if self.office is not None else None
+        return [] if clerk is None else [
+            {key: entry[key] for key in ("fence", "number", "gateways", "missing_count", "wrong", "at")}
+            for entry in [*clerk.history.entries][-3:]]
+
+
+def resident_mb() -> float:
+    """Of this process, MB (proc(5), statm)."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * 4096 / 2 ** 20
+
+
+def dropped(ports: set[int]) -> int:
+    """Datagrams that found a full buffer at these ports of ours (proc(5), net/udp, last column)."""
+    with open("/proc/net/udp") as file:
+        rows = [line.split() for line in file.readlines()[1:]]
+    return sum(int(row[12]) for row in rows if int(row[1].rpartition(":")[2], 16) in ports)
