--- a/benchmarks/scale_fleet.py
+++ b/benchmarks/scale_fleet.py
@@ -24,7 +24,7 @@
 FULL = 870
 RUNS = HOME / "fleet.jsonl"
 COMMAND = "python benchmarks/scale.py fleet"
-PROCESSES = 20
+EACH = 44               # members of a process, at every size: what a process spends once is spread alike
 LONGEST = 150.0         # seconds that a change may take until all know it
 BURST = 1000            # tenths of a millisecond
 
@@ -298,9 +298,10 @@
 def played(size: int, phases: list[str], elements: list[str], scale: float = 1.0) -> dict[str, Any]:
     """One fleet through its start and these phases. A phase that does not come to its end ends the run; it is named."""
     values: Values = {}
-    run = {"at": size, "phases": phases, "elements": elements, "values": values, "late": ""}
+    run = {"at": size, "processes": -(-size // EACH), "phases": phases, "elements": elements, "values": values,
+           "late": ""}
     phase = "start"
-    with Fleet(size, PROCESSES, elements) as fleet:
+    with Fleet(size, run["processes"], elements) as fleet:
         try:
             start(fleet, values, scale)
             for phase in phases:
@@ -322,6 +323,8 @@
     are rows of their own, named after what was left out."""
     found: dict[str, dict[int, list[float]]] = {}
     for run in runs:
+        if run["processes"] != -(-run["at"] // EACH):
+            continue    # a trial with other processes: kept, but no part of a slope
         out = [each for each in ELEMENTS if each not in run["elements"]]
         for key, values in run["values"].items():
             key += "".join(f".without-{each}" for each in out)
@@ -371,7 +374,8 @@
         raise click.BadParameter(f"{wrong[0]!r}: expected some of {known}")
     for size in wanted:
         try:
-            bounded(min(size, PROCESSES) + VOTERS + 1, 45 * (PROCESSES + VOTERS) + size * (0.5 + 0.004 * size))
+            processes = -(-size // EACH) + VOTERS + 1
+            bounded(processes, 45 * processes + size * (0.5 + 0.004 * size))
         except TooLarge as problem:
             raise TooLarge(f"fleet of {size}: {problem}") from None
     runs = []
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -120,12 +120,14 @@
 
 
 def test_rows_foretell_full_size_from_smaller_sizes_alone_and_tell_the_error():
-    runs = [{"at": size, "elements": ["duties", "works", "shared"], "values": {"fleet.rest.octets": [each, 3 * each]}}
+    runs = [{"at": size, "processes": -(-size // 44), "elements": ["duties", "works", "shared"],
+             "values": {"fleet.rest.octets": [each, 3 * each]}}
             for size, each in ((30, 30.0), (60, 60.0), (100, 100.0), (300, 300.0), (870, 580.0))]
     row, = rows_of(runs, 870)
     assert [each["at"] for each in row["points"]] == [30, 60, 100, 300]
     assert abs(row["foretold"]["value"] - 1740) < 1e-6 and row["checked"]["value"] == 1160
     assert abs(row["checked"]["error"] - 0.5) < 1e-6
+    assert rows_of([{**each, "processes": 50} for each in runs], 870) == []     # other processes: no part of a slope
     row, = rows_of(runs[:3] + runs[4:], 870)
     assert "fit" not in row and row["points"][0]["at"] == 870      # three sizes are no slope
     row, = rows_of([{**each, "elements": ["duties", "works"]} for each in runs], 870)
