--- a/corkgauge/standins/hollow.py
+++ b/corkgauge/standins/hollow.py
@@ -250,6 +250,15 @@
         self.society.sock = None
         self.beat.wake(self.wire.fileno())
 
+    def told(self, starts: dict[str, int]) -> None:
+        """All members' starts at once, with nothing left to pass on: as hours after the start of all."""
+        company = self.society.company
+        for name, start in starts.items():
+            if name != self.name:
+                company.letters.heard_of(name, start)
+        company.met = True
+        company.rumours.words.clear()
+
     # What a coordinator may ask.
 
     def unknown(self) -> int:
@@ -269,7 +278,8 @@
     def counters(self) -> dict[str, Any]:
         wire, company = self.wire, self.society.company
         return {"out": wire.out, "octets_out": wire.octets_out, "in": wire.got, "octets_in": wire.octets_in,
-                "held_back": wire.held_back, "spent": self.beat.spent, "unknown": self.unknown(),
+                "held_back": wire.held_back, "words": len(company.rumours.words),
+                "spent": self.beat.spent, "unknown": self.unknown(),
                 "duties": self.duties(), "kinds_out": dict(self.kinds_out), "octets_by": dict(self.octets_by),
                 "kinds_in": dict(self.kinds_in), "became": dict(self.society.became),
                 "refused": dict(company.letters.counts), "health": company.health,
--- a/corkgauge/standins/hollow_crew.py
+++ b/corkgauge/standins/hollow_crew.py
@@ -12,8 +12,10 @@
 import sys
 import time
 import traceback
+from collections import Counter
 from typing import Any
 
+from corkgauge.fellows.company import ALIVE, STATES
 from corkgauge.loop.hub import READ, SECOND, Hub
 from corkgauge.standins.chance import Chance
 from corkgauge.standins.hollow import ELEMENTS, Member, Wire, dropped, resident_mb
@@ -76,6 +78,13 @@
         self.members[name] = Member(self.hub, name, self.wires[name], self.roster, self.voters, self.numbers[name],
                                     self.elements)
 
+    def do_starts(self) -> dict[str, int]:
+        return {name: each.society.company.letters.start for name, each in self.members.items()}
+
+    def do_told(self, starts: dict[str, int]) -> None:
+        for each in self.members.values():
+            each.told(starts)
+
     def do_end(self, names: list[str], over: float = 0.0, again: float = -1.0) -> int:
         """In order, by chance over so many seconds; started `again` so many seconds after its end, below 0: never."""
         ours = [name for name in names if name in self.members]
@@ -110,6 +119,15 @@
         """Members of ours that hold all alive; of how many."""
         return [sum(not each.unknown() for each in self.members.values()), len(self.members)]
 
+    def do_missed(self) -> dict[str, int]:
+        """By member and state: how many of ours hold it other than alive."""
+        found = Counter[str]()
+        for each in self.members.values():
+            if each.unknown():
+                found.update(f"{other.name} {STATES[other.state]}" for other in each.society.company.fellows.values()
+                             if other.state != ALIVE)
+        return dict(found.most_common(40))
+
     def do_settled(self) -> list[int]:
         """How long ago the last of ours came to hold all alive, tenths of a millisecond; none: no members."""
         return [self.hub.now - max(each.society.settled for each in self.members.values())] if self.members else []
--- a/corkgauge/standins/hollow_fleet.py
+++ b/corkgauge/standins/hollow_fleet.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -102,6 +103,16 @@
     def start(self, names: Sequence[str] | None = None, over: float = 0.0) -> None:
         self.all("start", names=[*(names or self.ports)], over=over)
 
+    def at_rest(self, most: float = 30.0) -> None:
+        """Start all, and have each told of all by us: at 870 the news of a start of all is passed on for minutes, and
+        what is asked of a fleet at rest need not wait for that."""
+        self.start(over=1.0)
+        self.until("all are started", lambda: [len(self.starts()), len(self.ports)], most)
+        self.all("told", starts=self.starts())
+
+    def starts(self) -> dict[str, int]:
+        return {name: each for part in self.all("starts") for name, each in part.items()}
+
     def end(self, names: Sequence[str], over: float = 0.0, again: float = -1.0) -> None:
         self.all("end", names=[*names], over=over, again=again)
 
@@ -140,7 +151,14 @@
 
     def until_known(self, most: float) -> float:
         whole = len(self.ports)
-        return self.until("all know all", lambda: [self.known()[0], whole], most)
+        try:
+            return self.until("all know all", lambda: [self.known()[0], whole], most)
+        except Late as problem:
+            missed = Counter[str]()
+            for part in self.all("missed"):
+                missed.update(part)
+            said = ", ".join(f"{name} by {many}" for name, many in missed.most_common(6))
+            raise Late(f"{problem}; held {said or 'all by now'}") from None
 
     def until_seen(self, names: Sequence[str], alive: bool, most: float, of: Sequence[str] | None = None) -> float:
         what = f"{len(names)} seen {'alive' if alive else 'gone'}"
