--- a/benchmarks/scale_fleet.py
+++ b/benchmarks/scale_fleet.py
@@ -51,6 +51,8 @@
     "fleet.rest.processor.holder": ("processor at rest, the holder of a duty that has more", "% of a core"),
     "fleet.books.missing": ("members missing in an entry of the fleet's books, mean of the last", "members"),
     "fleet.rest.dropped": ("datagrams that found a full buffer at rest, by all", "a second"),
+    "fleet.rest.dropped.holder": ("datagrams that found a full buffer at rest, at the holder with more", "a second"),
+    "fleet.rest.dropped.voter": ("datagrams that found a full buffer at rest, at a voter", "a second"),
     "fleet.rest.lag": ("the worst lateness of a timer of the trial itself at rest", "ms"),
     "fleet.start.time": ("all start within a second: until all know all", "s"),
     "fleet.start.datagrams": ("first 10 s of all, a member, mean", "a second"),
@@ -195,6 +197,8 @@
         add(values, "fleet.rest.memory", found.memory(managers))
         add(values, "fleet.rest.memory.voter", found.memory(voters))
         add(values, "fleet.rest.dropped", found.dropped())
+        add(values, "fleet.rest.dropped.holder", max(found.rates([*held], "dropped"), default=0.0))
+        add(values, "fleet.rest.dropped.voter", max(found.rates(fleet.voters, "dropped")))
         add(values, "fleet.rest.lag", found.lag())
         add(values, "fleet.rest.burst.voter", fleet.bursts())
         entries = {(each["fence"], each["number"]): each for one in found.new.values() for each in one["books"]}
@@ -351,6 +355,9 @@
             found.setdefault(key, {}).setdefault(run["at"], []).extend(values)
     rows = []
     for key, by_size in sorted(found.items()):
+        if key.startswith("fleet.kind.") and not any(map(any, by_size.values())):
+            continue    # nothing of this kind was sent
+
         def at(size: int, by: dict[int, list[float]] = by_size) -> float:
             return median(by[size])
         name = key.partition(".without-")[0]
--- a/corkgauge/standins/hollow.py
+++ b/corkgauge/standins/hollow.py
@@ -301,8 +301,8 @@
         return int(file.read().split()[1]) * 4096 / 2 ** 20
 
 
-def dropped(ports: set[int]) -> int:
-    """Datagrams that found a full buffer at these ports of ours (proc(5), net/udp, last column)."""
+def dropped() -> dict[int, int]:
+    """By port: datagrams that found a full buffer (proc(5), net/udp, last column)."""
     with open("/proc/net/udp") as file:
         rows = [line.split() for line in file.readlines()[1:]]
-    return sum(int(row[12]) for row in rows if int(row[1].rpartition(":")[2], 16) in ports)
+    return {int(row[1].rpartition(":")[2], 16): int(row[12]) for row in rows}
--- a/corkgauge/standins/hollow_crew.py
+++ b/corkgauge/standins/hollow_crew.py
@@ -141,10 +141,12 @@
 
     def do_counters(self) -> dict[str, Any]:
         lag, self.hub.worst_lag = self.hub.worst_lag, 0
+        full = dropped()
         return {"at": self.hub.now, "processor": time.process_time(), "resident": resident_mb(), "empty": self.empty,
                 "lag": lag, "troubles": self.troubles,
-                "dropped": dropped({wire.port for wire in self.wires.values()}),
-                "members": {name: each.counters() for name, each in self.members.items()}}
+                "dropped": sum(full.get(wire.port, 0) for wire in self.wires.values()),
+                "members": {name: {**each.counters(), "dropped": full.get(each.wire.port, 0)}
+                            for name, each in self.members.items()}}
 
     def do_quit(self) -> None:
         self.hub.later(1, os._exit, 0)
