--- a/benchmarks/scale_fleet.py
+++ b/benchmarks/scale_fleet.py
@@ -442,8 +442,8 @@
 
 def _keep(run: dict[str, Any], file: Path = RUNS) -> None:
     file.parent.mkdir(parents=True, exist_ok=True)
-    with open(file, "a") as kept_runs:
-        kept_runs.write(json.dumps(run) + "\n")
+    with open(file, "ab", buffering=0) as kept_runs:    # Danger: two commands at once would mix their lines
+        kept_runs.write(json.dumps(run).encode() + b"\n")
 
 
 def _kept(file: Path = RUNS) -> list[dict[str, Any]]:
