--- a/corkgauge/standins/hollow_serve.py
+++ b/corkgauge/standins/hollow_serve.py
@@ -21,7 +21,8 @@
 from corkgauge.standins.feed import FeedStandIn
 from corkgauge.standins.machines import ready_question
 from corkgauge.standins.parent import tied
-from corkgauge.standins.program import Program, free_port
+from corkgauge.standins.ports import free_port
+from corkgauge.standins.program import Program
 
 LISTENERS, CLIENTS = 8, 8
 CORES = 10_000      # of a listener, which stands for many databases: its pace stays that of the work alone
