--- a/corkgauge/standins/hollow_serve.py
+++ b/corkgauge/standins/hollow_serve.py
@@ -4,12 +4,8 @@
 never send to any address but loopback ones; its child ends with it.
 """
 
-import json
-import os
 import shutil
 import socket
-import subprocess
-import sys
 import tempfile
 import time
 from typing import Any
@@ -20,7 +16,6 @@
 from corkgauge.standins.engines import EngineStandIn
 from corkgauge.standins.feed import FeedStandIn
 from corkgauge.standins.machines import ready_question
-from corkgauge.standins.parent import tied
 from corkgauge.standins.ports import free_port
 from corkgauge.standins.program import Program
 
@@ -30,17 +25,8 @@
          Want("load", 0.12, 3_000, 10.0, labelled=True, ordered=True), Want("once", 0.10, 3_000, 5.0)]
 
 
-class Tied(Program):
-    """`serve`, killed when the process that started it ends in whichever way."""
-
-    def start(self) -> None:
-        with open(self.config, "w", encoding="utf-8") as file:
-            json.dump(self.said, file)
-        with open(self.log_path, "ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, *self.start_with, *self.arguments], stdout=log, stderr=log,
-                stdin=subprocess.DEVNULL, cwd=self.tree, preexec_fn=tied(os.getpid()),
-                env={**os.environ, "EDGE_CONFIG": self.config, "EDGE_LISTEN": "", "PYTHONDONTWRITEBYTECODE": "1"})
+class Counted(Program):
+    """`serve`, and how much of a processor it has had."""
 
     def spent(self) -> float:
         """Seconds of processor time so far, to the nanosecond; the program has one thread."""
@@ -61,7 +47,7 @@
         self.address = "127.0.0.1", free_port()
         first = hollow_one.listing(1, engines, address=lambda n: self.engines[n % len(self.engines)].address)
         self.feed.version, self.feed.events = 1, [first]
-        self.program = Tied(self.folder, hollow_one.configuration(
+        self.program = Counted(self.folder, hollow_one.configuration(
             engines, "%s:%d" % self.address, self.feed.address, first), start=start)
         self.clients: list[ClientStandIn] = []
 
