--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -17,6 +17,7 @@
     "restarts": 540, "machine_failures": 4, "per_database": 1_220, "day": 86_400}
 PEAKS = {"mean": 1, "three": 3, "five": 5}      # "several times the mean", worked out for these
 BEFORE = ".before"      # of a key: as it was before the working set
+WITHOUT = ".without-shared"     # of a key: a fleet whose operator file switches findings off
 
 
 GROW = "gateways", "engines", "fleet_statements", "fleet_connections", "restarts", "machine_failures"
@@ -85,8 +86,11 @@
         read: list[Figure] = []
 
         def ask(key: str, at: float | None = None, slope: bool = False) -> float:
-            # Where the run after the mechanism is missing, the one before it stands in, under its own name.
-            key = key if key in self.rows or key + BEFORE not in self.rows else key + BEFORE
+            # One that was checked at full size goes before one that is foretold alone; and where the run after the
+            # mechanism, or with findings, is missing, the other stands in, under its own name.
+            there = [each for each in (key, key + WITHOUT) if each in self.rows] or [
+                each for each in (key + BEFORE,) if each in self.rows] or [key]
+            key = next((each for each in there if "checked" in self.rows.get(each, ())), there[0])
             read.append(self.slope(key) if slope else self.figure(key, at))
             return read[-1].value
 
