--- a/benchmarks/capacity_rows.py
+++ b/benchmarks/capacity_rows.py
@@ -378,19 +378,20 @@
     Missing("A statement that costs less, or several processes before one port",
             ("serving.cores", "serving.cores.three", "serving.statement", "serving.decision", "serving.decisions.three",
              "serving.decisions.five"),
-            "at the rate that it was measured at (200 a second) turns of the hub and what the module works out each "
-            "20 ms are shared by few statements; at 1,000 a second one costs {{alone.statement.rate@1000}} before 40 "
-            "engines, which is still over the budget. What it goes to is under 'what remains of a statement'. Less of it "
-            "first: frames, links, the walk of the order. Beyond that several processes on a machine that share the port "
-            "(SO_REUSEPORT), each a workload manager of its own, which multiplies members, links and cold parts; the "
-            "platform asks for one process.", serving=True),
+            "at the rate that it was measured at (200 a second) turns of the hub and what the module works out "
+            "each 20 ms are shared by few statements; at 1,000 a second one costs {{alone.statement.rate@1000}} "
+            "before 40 engines, which is still over the budget. What it goes to is under 'what remains of a "
+            "statement'. Less of it first: frames, links, the walk of the order. Beyond that several processes on a "
+            "machine that share the port (SO_REUSEPORT), each a workload manager of its own, which multiplies "
+            "members, links and cold parts; the platform asks for one process.", serving=True),
     Missing("Books of the fleet that are summed on the way, orders that go out on a change",
             ("holder.rest.octets", "holder.rest.processor"),
-            "a holder asks all members in one turn of its loop: that of `works` twice a second, also with an empty plan "
-            "(`corkgauge/works/planner.py`, `orders`), that of the books each five seconds (`corkgauge/duties/clerk.py`, "
-            "`begin`). The answers come together, and beyond some 250 a socket's buffer drops them: "
-            "{{fleet.books.missing.without-shared}} were missing in an entry. Orders on a change alone, asking spread over "
-            "the period; sums by zone or by a tree of members, each with what is missing and how old it is."),
+            "a holder asks all members in one turn of its loop: that of `works` twice a second, also with an empty "
+            "plan (`corkgauge/works/planner.py`, `orders`), that of the books each five seconds "
+            "(`corkgauge/duties/clerk.py`, `begin`). The answers come together, and beyond some 250 a socket's "
+            "buffer drops them: {{fleet.books.missing.without-shared}} were missing in an entry. Orders on a change "
+            "alone, asking spread over the period; sums by zone or by a tree of members, each with what is missing "
+            "and how old it is."),
     Missing("Membership that tells less",
             ("control.rest.octets", "control.rest.octets.worst", "control.start.octets", "control.zone.octets",
              "control.zone.release", "control.release.octets", "control.release.octets.worst", "control.region.octets"),
