--- a/benchmarks/scale_fleet.py
+++ b/benchmarks/scale_fleet.py
@@ -141,11 +141,7 @@
     add(values, "fleet.start.dropped", sum(each["dropped"] for each in after) / span)
     lag = max(each["lag"] for each in after) / 10
     try:
-        if fleet.known()[0] == len(fleet.ports):
-            add(values, "fleet.start.time", fleet_known_at(fleet, begun))
-        else:
-            fleet.until_known(LONGEST)
-            add(values, "fleet.start.time", time.monotonic() - begun)
+        add(values, "fleet.start.time", all_know_all(fleet, begun))
     finally:
         after = fleet.counters()
         add(values, "fleet.start.lag", max([lag, *(each["lag"] / 10 for each in after)]))
@@ -171,8 +167,12 @@
     time.sleep(8 * scale)
 
 
-def fleet_known_at(fleet: Fleet, begun: float) -> float:
-    """When the last member came to hold all alive, by what the members noted; seconds from `begun`."""
+def all_know_all(fleet: Fleet, begun: float) -> float:
+    """When the last member came to hold all alive, seconds from `begun`: by what the members noted where that is over,
+    else waited for. Raises as `until_known` does where it takes too long."""
+    if fleet.known()[0] != len(fleet.ports):
+        fleet.until_known(LONGEST)
+        return time.monotonic() - begun
     ago = min(part[0] for part in fleet.all("settled") if part)
     return time.monotonic() - ago / 10_000 - begun
 
@@ -256,11 +256,7 @@
     add(values, "fleet.release.octets.worst", max(found.rates(found.both, "octets_out", "octets_in")))
     more = sum(found.rates(found.both, "octets_out")) - sum(at_rest.rates(at_rest.both, "octets_out"))
     add(values, "fleet.restart.octets", max(more, 0.0) * found.span / len(some))
-    if fleet.known()[0] == len(fleet.ports):
-        add(values, "fleet.release.time", fleet_known_at(fleet, begun))
-    else:
-        fleet.until_known(LONGEST)
-        add(values, "fleet.release.time", time.monotonic() - begun)
+    add(values, "fleet.release.time", all_know_all(fleet, begun))
 
 
 def rack(fleet: Fleet, values: Values, scale: float) -> None:
@@ -284,11 +280,7 @@
     time.sleep(10 * scale)
     found = Counted(fleet, before, fleet.counters())
     add(values, "fleet.zone.back.octets", mean(found.rates(found.both, "octets_out", "octets_in")))
-    if fleet.known()[0] == len(fleet.ports):
-        add(values, "fleet.zone.back", fleet_known_at(fleet, begun))
-    else:
-        fleet.until_known(LONGEST)
-        add(values, "fleet.zone.back", time.monotonic() - begun)
+    add(values, "fleet.zone.back", all_know_all(fleet, begun))
 
 
 def region(fleet: Fleet, values: Values, scale: float) -> None:
@@ -304,11 +296,7 @@
     time.sleep(10 * scale)
     found = Counted(fleet, before, fleet.counters())
     add(values, "fleet.region.octets", mean(found.rates(found.both, "octets_out", "octets_in")))
-    if fleet.known()[0] == len(fleet.ports):
-        add(values, "fleet.region.healed", fleet_known_at(fleet, begun))
-    else:
-        fleet.until_known(LONGEST)
-        add(values, "fleet.region.healed", time.monotonic() - begun)
+    add(values, "fleet.region.healed", all_know_all(fleet, begun))
 
 
 PHASES: dict[str, Callable[[Fleet, Values, float], None]] = {
