--- a/review/settings.py
+++ b/review/settings.py
@@ -42,46 +42,6 @@
     }
 
 
-def bajio_leon() -> Any:
-    """Return the settings of `bajio-leon`."""
-    return {
-        **common(
-            ["doce-nucleos", "ocho-nucleos"], [12, 8], ["sala-a", "sala-b", "sala-c"], [1, 3, 2]
-        ),
-        "limits": {
-            "cancel": True,
-            "connIdleUs": 15_000_000,
-            "dialTimeoutUs": 250_000,
-            "maxRetryAfterUs": 1_000_000,
-            "mayTell": False,
-            "mostTries": 6,
-            "openCap": 20096,
-            "probes": False,
-            "retryAfter": True,
-            "secondCopies": False,
-            "streamsPerConn": 100,
-        },
-        "profiles": [
-            profile("consulta-corta", 1.5, 7.5, 1.0),
-            profile("reporte-largo", 3.0, 25.0, 4.0, servedOn=[0], aimStretch=2.5),
-            profile("carga", 3.0, 20.0, 4.0, effect="token", keyTtlUs=20_000_000, aimStretch=3.0),
-        ],
-        "rules": {
-            "answerSlackUs": 20_000,
-            "askWithinUs": 10_000_000,
-            "budgetSpanUs": 10_000_000,
-            "coldShare": 0.3,
-            "coldUs": 15_000_000,
-            "drainGraceUs": 500_000,
-            "extraFloor": 2.0,
-            "extraPerRequest": 0.1,
-            "fallMultiple": 2.5,
-            "fallUs": 1_000_000,
-            "settleAfterDoubtUs": 0,
-        },
-    }
-
-
 def hq_main() -> Any:
     """Return the settings of `hq-main`, without tenants."""
     settings = common(["c12", "c8"], [12, 8], ["hall-a", "hall-b"], [1, 3, 2])
--- a/review/standins.py
+++ b/review/standins.py
@@ -7,15 +7,12 @@
 
 import asyncio
 import contextlib
-import fcntl
 import json
 import os
 import signal
 import socket
 import struct
-import sys
 import tempfile
-import termios
 import time
 import tomllib
 from collections.abc import AsyncIterator, Callable
@@ -32,9 +29,6 @@
 LARGE_PAGE = (b"a" * 33 + b"\t" + b"b" * 33 + b"\t" + b"c" * 31 + b"\n") * 60  # 6,000 bytes
 # Work of each class in milliseconds on one core, as clients estimate it and engines report it.
 WORK_MS = {
-    "consulta-corta": 290,
-    "reporte-largo": 4400,
-    "carga": 3400,
     "rating-lookup": 240,
     "league-report": 4100,
     "result-load": 2400,
@@ -64,16 +58,10 @@
 
 
 class Feed:
-    """The control feed: numbered events over HTTP as server-sent events, a comment each second.
-
-    The answer to a call begins `first_byte_delay()` seconds after the call.
-    """
+    """The control feed: numbered events over HTTP as server-sent events, a comment each second."""
 
     def __init__(self, record: Record, servers: list[dict[str, Any]]) -> None:
         self.record, self.events = record, [self._event(1, servers, True)]
-        self.told_at = [0.0]
-        self.changed = asyncio.Condition()
-        self.first_byte_delay: Callable[[], float] = lambda: 0.0
         self.address = ""
 
     @staticmethod
@@ -85,16 +73,6 @@
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
-    async def tell(self, servers: list[dict[str, Any]]) -> float:
-        """Add an event with changed engines; return the time from which it is in the feed."""
-        async with self.changed:
-            number = len(self.events) + 1
-            self.events.append(self._event(number, servers, False))
-            states = ", ".join(f"{each['id']} {each['state']}" for each in servers)
-            self.told_at.append(self.record.add(f"feed: event {number} in the feed: {states}"))
-            self.changed.notify_all()
-        return self.told_at[-1]
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             head = await reader.readuntil(b"\r\n\r\n")
@@ -103,7 +81,6 @@
                 if line.lower().startswith("last-event-id:"):
                     last = int(line.split(":")[1])
             self.record.add(f"feed: called for what follows event {last}")
-            await asyncio.sleep(self.first_byte_delay())
             writer.write(
                 b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                 b"Cache-Control: no-cache\r\nConnection: close\r\n\r\n: here\n\n"
@@ -114,9 +91,7 @@
                     writer.write(f"id: {last}\ndata: {json.dumps(event)}\n\n".encode())
                     self.record.add(f"feed: wrote event {last} to the open connection")
                 await writer.drain()
-                async with self.changed:
-                    with contextlib.suppress(TimeoutError):
-                        await asyncio.wait_for(self.changed.wait(), 1.0)
+                await asyncio.sleep(1.0)
                 writer.write(b": alive\n\n")
         self.record.add("feed: a connection of the workload manager ended")
         with contextlib.suppress(OSError):
@@ -124,10 +99,7 @@
 
 
 class Engine:
-    """An engine. It runs each attempt for `run_seconds(class)` and answers with one page.
-
-    While it stands still, it neither reads nor answers; the system still takes bytes for it.
-    """
+    """An engine. It runs each attempt for `run_seconds(class)` and answers with its pages."""
 
     def __init__(self, record: Record, name: str, kind: str, zone: str) -> None:
         self.record, self.name, self.kind, self.zone = record, name, kind, zone
@@ -135,42 +107,16 @@
         self.run_seconds: Callable[[str], float] = lambda _: 0.05
         self.page, self.page_count = SMALL_PAGE, 1  # of each result
         self.listener = socket.socket()
-        self.server: Any = None
-        self.port = 0
-        self.is_still = False
         self.connections: set[EngineSide] = set()
         # What the engine received: the time at which a command was whole, its id and class.
         self.received: list[tuple[float, str, str]] = []
 
-    async def start(self, receive_buffer: int = 0, segment: int = 0, port: int = 0) -> None:
-        """Listen on a loopback port, a free one by default."""
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if receive_buffer:
-            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-        if segment:
-            self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment)
-        self.listener.bind(("127.0.0.1", port))
+    async def start(self) -> None:
+        """Listen on a free loopback port."""
+        self.listener.bind(("127.0.0.1", 0))
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
-            lambda: EngineSide(self), sock=self.listener, backlog=512
-        )
-        self.port = self.listener.getsockname()[1]
-        self.address = f"127.0.0.1:{self.port}"
-
-    def end(self) -> None:
-        """End the engine's process: no new connections, and the open ones are reset."""
-        self.record.add(f"engine {self.name}: its process ends")
-        self.server.close()
-        for side in [*self.connections]:
-            side.transport.abort()
-
-    def describe_arrival(self) -> str:
-        """Return how many bytes of unfinished commands have come, read and unread ones."""
-        return "; ".join(
-            f"connection {number}: {len(side.data)} bytes of a command read, "
-            f"{side.count_unread()} unread"
-            for number, side in enumerate(self.connections)
-        )
+        await loop.create_server(lambda: EngineSide(self), sock=self.listener, backlog=512)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
 
     def listed(self) -> dict[str, Any]:
         """Return the engine's entry in an event."""
@@ -185,30 +131,20 @@
             "started_ms": self.started_ms,
         }
 
-    def stand_still(self, is_still: bool) -> None:
-        """Stop reading and answering, or go on."""
-        self.is_still = is_still
-        self.record.add(f"engine {self.name}: {'stands still' if is_still else 'goes on'}")
-        for side in [*self.connections]:
-            side.stand_still(is_still)
-
 
 class EngineSide(asyncio.Protocol):
     """One connection of a workload manager to an engine."""
 
     def __init__(self, engine: Engine) -> None:
-        self.engine, self.data, self.total = engine, bytearray(), 0
+        self.engine, self.data = engine, bytearray()
         self.open: dict[str, asyncio.TimerHandle] = {}
         self.work: dict[str, int] = {}
-        self.held: list[str] = []
         self.transport: Any = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the connection."""
         self.transport = transport
         self.engine.connections.add(self)
-        if self.engine.is_still:
-            self.transport.pause_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Give up all that is open on the connection."""
@@ -218,25 +154,8 @@
             self.engine.record.add(f"engine {self.engine.name}: {name} given up, connection ended")
         self.open.clear()
 
-    def count_unread(self) -> int:
-        """Return how many bytes the system holds for this connection."""
-        buffer = bytearray(4)
-        fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, buffer)
-        return int.from_bytes(buffer, sys.byteorder)
-
-    def stand_still(self, is_still: bool) -> None:
-        """Stop reading and answering, or go on with what was held."""
-        if is_still:
-            self.transport.pause_reading()
-            return
-        self.transport.resume_reading()
-        held, self.held = self.held, []
-        for name in held:
-            self._finish(name)
-
     def data_received(self, data: bytes) -> None:
         """Handle all commands that are whole."""
-        self.total += len(data)
         self.data += data
         while parts := self._take_command():
             self._on_command([part.decode() for part in parts])
@@ -285,9 +204,6 @@
     def _finish(self, name: str) -> None:
         if name not in self.open:
             return
-        if self.engine.is_still:
-            self.held.append(name)
-            return
         self.engine.record.add(f"engine {self.engine.name}: attempt {name} done")
         load = f"inflight:{len(self.open)};util:0.1;x0:0.1;x1:0.1"
         result = f"chunks={self.engine.page_count},spent={self.work[name]},wanted=64"
@@ -353,12 +269,6 @@
         self.sent[trace] = self.record.add(f"client {self.name}: sent {trace} ({route}{key})")
         return trace
 
-    def give_up(self, trace: str) -> float:
-        """Send type 8 for a request; return the time."""
-        stream = next(number for number, each in self.traces.items() if each == trace)
-        self.writer.write(struct.pack("<IBI", 5, 8, stream))
-        return self.record.add(f"client {self.name}: gave up {trace} (type 8)")
-
     async def wait_until_written(self, trace: str) -> None:
         """Wait until the system has taken all bytes sent so far, the last being of a request."""
         while self.writer.transport.get_write_buffer_size():
@@ -536,13 +446,14 @@
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"case begins, {'with' if has_trouble else 'without'} the disruption")
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends what was started, too
     try:
         breaks = asyncio.run(asyncio.wait_for(play(record, has_trouble), seconds))
         status = 1 if breaks else 0
         for line in breaks:
             record.add(f"BROKEN: {line}")
         record.add(f"result: {'broken' if breaks else 'held'}")
-    except Exception as problem:
+    except (Exception, KeyboardInterrupt) as problem:
         record.add(f"result: the case could not run: {type(problem).__name__}: {problem}")
         status = 2
     record.write()
