Log the memory budgets and who waits for memory on SIGUSR1

A connection that gets no answer any more may wait for memory that is never free, or for memory that was freed without anybody being woken. The counters line could not tell the two apart.

--- a/corkgauge/daemon/process.py
+++ b/corkgauge/daemon/process.py
@@ -141,9 +141,10 @@
         )
 
     def _on_signal(self, number: int) -> None:
-        """Log the counters (SIGUSR1), reload the configuration (SIGHUP), or begin the shutdown."""
+        """Log counters and memory (SIGUSR1), reload the configuration (SIGHUP), or begin the shutdown."""
         if number == signal.SIGUSR1:
             logger.info(self._counters())
+            logger.info(f"memory {self.front_end.memory_line()}")
         elif number == signal.SIGHUP:
             # Run by a timer, as an exception of the reload would end the task that reads signals.
             self.event_loop.call_later(0, self.reloader.reload, os.environ)
--- a/corkgauge/net/platform_frontend.py
+++ b/corkgauge/net/platform_frontend.py
@@ -102,6 +102,29 @@
                 self.counters["gave way"] += 1
         return bool(quiet)
 
+    def memory_line(self) -> str:
+        """Return, for the log, the bytes reserved of each memory budget, and who waits for memory.
+
+        `paused_inputs` counts client connections that are not read for lack of memory, and
+        `waiting_answers` the answers that are not yet in a send buffer.
+        """
+        links = [each.link for each in self.client_connections]
+        paused_count = sum(
+            not (link.close_reason or link.machine.inward.free_bytes) for link in links
+        )
+        answer_count = sum(len(each.waiting_answers) for each in self.client_connections)
+        budgets = {
+            "client_buffers": self.client_ring_memory,
+            "server_buffers": self.server_ring_memory,
+            "results": self.result_memory,
+            "statements": self.statement_memory,
+        }
+        reserved = " ".join(
+            f"{name}={budget.reserved_bytes}/{budget.limit_bytes}"
+            for name, budget in budgets.items()
+        )
+        return f"{reserved} paused_inputs={paused_count} waiting_answers={answer_count}"
+
     def add_client(self, sock: Any) -> None:
         """Serve a client that was accepted on this socket."""
         client_connection = ClientConnection(self, sock)
