Answers without buffer memory are passed on in parts instead of never

Cause: an answer that the send buffer could not grow for was queued, and the queue was continued only when the send buffer had been drained. It was empty, so nothing drained it.

Change: the queue (now net/answer_queue.py) passes a frame on in parts of the send buffer's initial size, which belongs to the connection, so an answer depends on its client alone. READY and LEAVING frames go through the same queue; the one closed the connection for lack of memory, the other was dropped. A frame that has begun is finished, also after its time.

--- a/corkgauge/daemon/process.py
+++ b/corkgauge/daemon/process.py
@@ -141,7 +141,7 @@
         )
 
     def _on_signal(self, number: int) -> None:
-        """Log counters and memory (SIGUSR1), reload the configuration (SIGHUP), or begin the shutdown."""
+        """Log counters and memory (SIGUSR1), reload the configuration (SIGHUP), or shut down."""
         if number == signal.SIGUSR1:
             logger.info(self._counters())
             logger.info(f"memory {self.front_end.memory_line()}")
--- a/corkgauge/net/client_connection.py
+++ b/corkgauge/net/client_connection.py
@@ -1,13 +1,12 @@
 """Handles one client connection: its open requests and the answers sent to the client.
 
-Owns the queue of answers that do not fit into the send buffer, the limits on the time for a frame
-and on unusable frames, and the close of the connection. Holds a new request back for up to 30 ms
-while the connection has unread bytes, which may cancel the request. Before the connection of a
-client is closed for a fault of the client, all open requests are answered.
+Owns the limits on the time for a frame and on unusable frames, and the close of the connection.
+Holds a new request back for up to 30 ms while the connection has unread bytes, which may cancel the
+request. Before the connection of a client is closed for a fault of the client, all open requests
+are answered.
 """
 
 import sys
-from collections import deque
 from fcntl import ioctl
 from termios import FIONREAD
 from typing import Any
@@ -15,10 +14,12 @@
 from corkgauge.accounting.counter_names import EndReason, Side
 from corkgauge.eventloop.connection import NEVER, StreamConnection
 from corkgauge.net import client_protocol as client_wire
-from corkgauge.net.client_protocol import ANSWER, FAILED, REFUSED, ClientProtocol, frame_head
+from corkgauge.net.answer_queue import Answer, AnswerQueue
+from corkgauge.net.client_protocol import FAILED, REFUSED, ClientProtocol, frame_head
 from corkgauge.policy.records import Request
 
 MAX_OPEN_REQUEST_COUNT = 32  # per client connection
+MAX_UNREAD_ANSWER_COUNT = 2 * MAX_OPEN_REQUEST_COUNT  # that wait for room, per client connection
 # Time limit for one frame, from its first byte; for the first frame, from the connection's start.
 FRAME_TIMEOUT_TICKS = 15_000
 MIN_QUIET_TICKS = 500  # without traffic, before a connection may be closed to make room for others
@@ -78,11 +79,7 @@
     def __init__(self, socket_host: Any, sock: Any) -> None:
         self.socket_host = socket_host
         self.open: dict[int, Request | None] = {}  # open requests by stream number
-        # Answers that did not fit into the send buffer: stream, code, body, expiry, request.
-        self.waiting_answers = deque[tuple[int, int, list[bytes], int, ClientRequest | None]]()
-        # Answers in the send buffer: the count of buffered bytes at which each one ends, request.
-        self.unwritten_answers = deque[tuple[int, ClientRequest]]()
-        self.fault_count, self.answer_count, self.cancel_count = 0, 0, 0
+        self.fault_count = self.cancel_count = 0
         self.unsubmitted: list[Request] = []  # requests not yet passed to the gateway
         self.link = StreamConnection(
             socket_host.event_loop,
@@ -92,13 +89,19 @@
             FRAME_TIMEOUT_TICKS,
             True,
         )
+        self.answers = AnswerQueue(socket_host, self.link)
 
     def on_request_frame(self, stream: int, fields: dict[str, str], body: bytes) -> str:
         """Accept a request; return why the connection must be closed, or an empty string."""
-        # Without this limit, answers to a client that does not read them would fill the memory.
-        if len(self.waiting_answers) > 2 * MAX_OPEN_REQUEST_COUNT:
-            return "answers are not read"
-        return self.socket_host.on_request(self, stream, fields, body)
+        wrong = self._reason_if_answers_unread()
+        return wrong or self.socket_host.on_request(self, stream, fields, body)
+
+    def _reason_if_answers_unread(self) -> str:
+        """Return a reason to close the connection of a client that does not read its answers.
+
+        Without this limit, the answers to such a client would fill the memory.
+        """
+        return "answers are not read" if len(self.answers) > MAX_UNREAD_ANSWER_COUNT else ""
 
     def on_cancel_frame(self, stream: int) -> str:
         """Cancel a request; return why the connection must be closed, or an empty string.
@@ -129,7 +132,7 @@
         # results nobody reads.
         return (
             "withdrawn too often"
-            if self.cancel_count > max(MAX_FAULT_COUNT, 2 * self.answer_count)
+            if self.cancel_count > max(MAX_FAULT_COUNT, 2 * self.answers.answer_count)
             else ""
         )
 
@@ -137,8 +140,8 @@
         """Answer a readiness check: code 1 while serving, 2 during shutdown."""
         self.socket_host.counters["asked ready"] += 1
         code = 1 if self.socket_host.shutdown_deadline == NEVER else 2
-        sent = self.link.send(frame_head(client_wire.READY, stream, code, 0))
-        return "" if sent else "answers are not read"
+        self.answers.send_control_frame(frame_head(client_wire.READY, stream, code, 0))
+        return self._reason_if_answers_unread()
 
     def on_unusable_frame(self, stream: int, reason: str) -> str:
         """Answer an unusable frame on its stream.
@@ -225,7 +228,7 @@
         link = self.link
         if (
             self.open
-            or self.waiting_answers
+            or len(self.answers)
             or self.socket_host.now < max(link.last_read_at, link.last_written_at) + MIN_QUIET_TICKS
         ):
             return False
@@ -250,72 +253,12 @@
         expires_at: int = NEVER,
         client_request: ClientRequest | None = None,
     ) -> None:
-        """Send an answer, or queue the answer until the send buffer has room.
-
-        Args:
-            stream: Stream number of the request; 0 for the connection as a whole.
-            code: Result code of the client protocol.
-            body: Parts of the body.
-            expires_at: Tick from which a queued answer is replaced by a short failure.
-            client_request: Request that this answer ends, if any; its ledger record is closed
-                when the last byte of the answer has been written.
-        """
-        socket_host = self.socket_host
-        self.answer_count += 1
-        if self.link.close_reason:
-            self._close_unsent_answer(client_request)
-        elif self.waiting_answers or not self._write_answer(stream, code, body, client_request):
-            # Queued results for clients that do not read would fill the memory. Once the memory
-            # budget for results is used up, a short failure is queued instead of the result.
-            if not socket_host.result_memory.reserve(sum(map(len, body))):
-                socket_host.counters["results dropped"] += 1
-                code, body = self._replace_by_failure(client_request)
-            self.waiting_answers.append((stream, code, body, expires_at, client_request))
-
-    def _write_answer(
-        self, stream: int, code: int, body: list[bytes], client_request: ClientRequest | None
-    ) -> bool:
-        if not self.link.send(frame_head(ANSWER, stream, code, sum(map(len, body))), *body):
-            return False
-        if client_request is not None:
-            self.unwritten_answers.append((self.link.bytes_queued, client_request))
-        return True
-
-    def _replace_by_failure(self, client_request: ClientRequest | None) -> tuple[int, list[bytes]]:
-        """Record that an answer was not read in time; return the failure that replaces it."""
-        if client_request is not None:
-            client_request.end_reason = EndReason.ANSWER_NOT_READ
-        return FAILED, []
-
-    def _close_unsent_answer(
-        self, client_request: ClientRequest | None, reason: int = EndReason.CLIENT_GONE
-    ) -> None:
-        """Close the ledger record of a request whose answer cannot be delivered any more."""
-        if client_request is not None:
-            client_request.end_reason = reason
-            self.socket_host.on_answer_finished(client_request)
+        """Send an answer, or queue it until the send buffer has room; see `Answer`."""
+        self.answers.send(Answer(stream, code, body, expires_at, client_request))
 
     def on_output_drained(self) -> None:
-        """Send queued answers after the send buffer has become empty.
-
-        A queued result whose request has expired is replaced by a failure, as a late result must
-        not count as served.
-        """
-        self._close_written_answers()
-        while self.waiting_answers:
-            stream, code, body, expires_at, client_request = self.waiting_answers[0]
-            if self.socket_host.now >= expires_at:
-                code, body = self._replace_by_failure(client_request)
-            if not self._write_answer(stream, code, body, client_request):
-                return
-            self._drop_first_waiting()
-
-    def _close_written_answers(self) -> None:
-        while self.unwritten_answers and self.unwritten_answers[0][0] <= self.link.bytes_sent:
-            self.socket_host.on_answer_finished(self.unwritten_answers.popleft()[1])
-
-    def _drop_first_waiting(self) -> None:
-        self.socket_host.result_memory.release(sum(map(len, self.waiting_answers.popleft()[2])))
+        """Send queued answers after the send buffer has become empty."""
+        self.answers.on_output_drained()
 
     def on_closed(self, reason: str) -> None:
         """Close the connection's ledger records, release its memory and end its requests."""
@@ -325,12 +268,7 @@
         )
         if self.socket_host.flow_export is not None:
             self.socket_host.flow_export.on_connection_closed(self.link)
-        self._close_written_answers()
-        while self.unwritten_answers:
-            self._close_unsent_answer(self.unwritten_answers.popleft()[1], EndReason.ANSWER_CUT_OFF)
-        while self.waiting_answers:
-            self._close_unsent_answer(self.waiting_answers[0][4])
-            self._drop_first_waiting()
+        self.answers.close()
         self.on_client_gone()
 
 
--- a/corkgauge/net/platform_frontend.py
+++ b/corkgauge/net/platform_frontend.py
@@ -112,7 +112,7 @@
         paused_count = sum(
             not (link.close_reason or link.machine.inward.free_bytes) for link in links
         )
-        answer_count = sum(len(each.waiting_answers) for each in self.client_connections)
+        answer_count = sum(len(each.answers) for each in self.client_connections)
         budgets = {
             "client_buffers": self.client_ring_memory,
             "server_buffers": self.server_ring_memory,
@@ -134,7 +134,7 @@
             self.flow_export.on_connection_opened(client_connection.link, Side.CLIENT)
         self.event_loop.spawn(client_connection.link.run)
         if self.shutdown_deadline != NEVER:
-            client_connection.link.send(client_wire.leaving_frame())
+            client_connection.answers.send_control_frame(client_wire.leaving_frame())
 
     def start_shutdown(self) -> None:
         """Begin the shutdown: ask clients for no new requests; answer open ones by the deadline."""
@@ -153,7 +153,7 @@
         ]
         self.log(f"leaving by {self.shutdown_deadline}, {len(requests)} open")
         for client_connection in [*self.client_connections]:
-            client_connection.link.send(client_wire.leaving_frame())
+            client_connection.answers.send_control_frame(client_wire.leaving_frame())
         for request in requests:
             self.event_loop.call_later(
                 self.shutdown_deadline - self.now, self.gateway.on_deadline_near, request
@@ -198,7 +198,7 @@
             and not link.is_lingering
             and bool(
                 client_connection.open
-                or client_connection.waiting_answers
+                or len(client_connection.answers)
                 or len(link.machine.outward)
                 or unread_byte_count(link.sock)
                 or client_connection.has_partial_frame()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -926,14 +926,14 @@
     client, engine = harness.connect_client(), harness.connect_engine()
     client_connection = next(iter(harness.socket_host.client_connections))
     client_connection.link.machine.outward.max_bytes = 5_000
+    # The system takes little, so that answers wait although they may be passed on in parts.
+    client_connection.link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
     for n in range(1, 20):
         harness.send(client, request_frame(n, patience="4000"))
         harness.send_engine_command(
             engine, request_id(n), "DONE", "chunks=1", "\t\t" + "x" * 5_997 + "\n"
         )
-    waiting_bytes = sum(
-        len(piece) for entry in client_connection.waiting_answers for piece in entry[2]
-    )
+    waiting_bytes = sum(frame.answer.body_bytes() for frame in client_connection.answers._waiting)
     assert (
         0 < waiting_bytes <= 300_000
         and harness.socket_host.result_memory.reserved_bytes == waiting_bytes
