A frame that waits for our memory is not timed out, and gets an answer in any case

Cause: the time limit for a frame ran while this program did not read for lack of buffer memory, which unfinished frames of other clients used up.

Change: the limit stands still while reading is paused, and does not end over unread input. A frame reserves its memory whole, so buffers with parts no longer wait for each other; MemoryBudget wakes who waits, in place of a retry each 50 ms. A quarter is kept for clients that have sent a usable request. After 0.5 s without memory the frame is discarded as it is read, and its request refused on its stream once it has come whole, which the platform counts as an answer in time.

--- a/benchmarks/scale_settings.py
+++ b/benchmarks/scale_settings.py
@@ -21,7 +21,7 @@
 
 from benchmarks.scaling import build_single_size_row, check_trial_size, measure_slope, save_rows
 from corkgauge.config.platform import PlatformConfig
-from corkgauge.eventloop.ring_buffer import MemoryBudget
+from corkgauge.eventloop.memory_budget import MemoryBudget
 from corkgauge.model.dissemination import measure_dissemination
 from corkgauge.net.discovery_protocol import DiscoveryProtocol
 from corkgauge.net.host import UnstartedHost, build_settings
--- a/corkgauge/eventloop/connection.py
+++ b/corkgauge/eventloop/connection.py
@@ -15,7 +15,9 @@
 
 MAX_CONSECUTIVE_READS = 2  # reads of one task before other tasks run
 MAX_READ_BYTES = 16_384  # size limit of one read
-MEMORY_RETRY_TICKS = 500  # retry interval after a refused memory reservation
+# Longest time for which a client's frame waits for memory; then it is refused. A request that has
+# expired meanwhile still gets that answer within the half second that the platform allows.
+MAX_MEMORY_WAIT_TICKS = 5_000
 LINGER_TICKS = 10_000  # time that a rejected peer has for reading the reason
 # Time for which input that the peer sent before it noticed the close is still read and discarded.
 IN_TRANSIT_TICKS = 500
@@ -33,9 +35,10 @@
     complete_frame_count: int  # frames parsed so far
 
     def parse_input(self) -> str:
-        """Parse the complete frames in `inward`.
+        """Parse the complete frames in `inward`, and reserve room for an incomplete one.
 
-        Returns the reason for which the connection must be closed, or an empty string.
+        Returns the reason for which the connection must be closed, or an empty string. The machine
+        of a client's connection also has `discard_frame()`, which gives up the incomplete frame.
         """
         ...
 
@@ -46,9 +49,10 @@
     The owner's `on_output_drained()` is called when all queued output has been written, and its
     `on_closed(reason)` once, at the end. `frame_timeout_ticks` limits the time for receiving one
     frame (0: no limit). The limit runs from the first byte of the frame; the limit of the first
-    frame from a client (`peer_is_client`) runs from the start of the connection. A client is
-    informed why it is rejected: the owner's `on_connection_rejected(reason)` is called first and
-    may send the reason.
+    frame from a client (`peer_is_client`) runs from the start of the connection. It is the peer's
+    time alone: it does not run while the connection is not read for lack of memory, and does not
+    end while input is unread. A client is informed why it is rejected: the owner's
+    `on_connection_rejected(reason)` is called first and may send the reason.
     """
 
     def __init__(
@@ -82,6 +86,7 @@
         self.frame_timeout_ticks = frame_timeout_ticks
         self.peer_is_client = peer_is_client
         self.frame_timeout_since = event_loop.now
+        self.paused_since = NEVER  # tick since which no input is read for lack of memory
 
         # Byte counts of the connection, and the times of its last read and write.
         self.bytes_queued = 0
@@ -111,37 +116,84 @@
 
     def _run_once(self) -> None:
         """Wait for the next events of the socket and handle them."""
-        ring = self.machine.inward
-        has_room = bool(ring.free_bytes)
-        deadline = None if has_room else self.event_loop.now + MEMORY_RETRY_TICKS
-        if self._is_mid_frame():
-            deadline = min(deadline or NEVER, self.frame_timeout_since + self.frame_timeout_ticks)
-        events = self.event_loop.wait(self.fd, self._event_mask(), deadline)
+        if not self.machine.inward.free_bytes:
+            self._make_room()
+            if self.close_reason:
+                return
+        events = self.event_loop.wait(self.fd, self._event_mask(), self._next_deadline())
         if events & WRITE:
             self.flush()
         if self.peer_is_client and events & GONE and not self.close_reason:
             # Reading would not detect that the client has closed while no input is read for lack of
             # room, or while much input is unread. The unread input of a closed client is useless.
             self.close_reason = "closed"
-        if not has_room and not self.close_reason:
-            self._parse_input()
         if events & (READ | BROKEN) and not self.close_reason:
             self._read(bool(events & BROKEN))
-        if (
-            not self.close_reason
-            and self._is_mid_frame()
-            and self.event_loop.now >= self.frame_timeout_since + self.frame_timeout_ticks
-        ):
-            # A frame that arrives byte by byte or never would occupy memory and a file descriptor.
-            self.reject("a frame that does not end" if len(ring) else "nothing said")
+        if not self.close_reason and self._is_frame_overdue():
+            self._end_overdue_frame()
+
+    def _next_deadline(self) -> int | None:
+        """Return the tick at which the connection acts without an event; None if there is none."""
+        if self.paused_since != NEVER:
+            return self.paused_since + MAX_MEMORY_WAIT_TICKS if self.peer_is_client else None
+        if self._is_mid_frame():
+            return self.frame_timeout_since + self.frame_timeout_ticks
+        return None
 
     def _is_mid_frame(self) -> bool:
         """Return whether the time limit for receiving one frame is running."""
         return bool(self.frame_timeout_ticks) and (
-            len(self.machine.inward) > 0
+            self._has_frame_begun()
             or (self.peer_is_client and not self.machine.complete_frame_count)
         )
 
+    def _has_frame_begun(self) -> bool:
+        ring = self.machine.inward
+        return len(ring) > 0 or ring.discard_bytes_left > 0
+
+    def _is_frame_overdue(self) -> bool:
+        return (
+            self.paused_since == NEVER
+            and self._is_mid_frame()
+            and self.event_loop.now >= self.frame_timeout_since + self.frame_timeout_ticks
+        )
+
+    def _end_overdue_frame(self) -> None:
+        """Reject the peer, or read on if more of its frame has arrived and was not read yet."""
+        if self.has_unread_input():
+            self._read(False)
+            return
+        # A frame that arrives byte by byte or never would occupy memory and a file descriptor.
+        self.reject("a frame that does not end" if self._has_frame_begun() else "nothing said")
+
+    def has_unread_input(self) -> bool:
+        """Return whether the socket holds input that this connection has not read yet."""
+        (events,) = self.event_loop.poll_now(self.fd)
+        return bool(events & READ)
+
+    def _make_room(self) -> None:
+        """Find room for the rest of the frame that fills the input buffer, or pause reading.
+
+        A client's frame that has waited too long for memory is discarded.
+        """
+        ring = self.machine.inward
+        now = self.event_loop.now
+        if self.paused_since == NEVER:
+            self.paused_since = now
+        self._parse_input()
+        if self.close_reason:
+            return
+        is_wait_over = now >= self.paused_since + MAX_MEMORY_WAIT_TICKS
+        if not ring.free_bytes and self.peer_is_client and is_wait_over:
+            self.machine.discard_frame()
+        if not ring.free_bytes:
+            ring.notify_when_free(lambda: self.event_loop.wake(self.fd))
+            return
+        ring.stop_waiting()
+        # While this program did not read, the time limit for the frame did not run.
+        self.frame_timeout_since += now - self.paused_since
+        self.paused_since = NEVER
+
     def is_peer_connected(self) -> bool:
         """Return whether the peer is still connected, by the state of the socket now.
 
@@ -202,7 +254,7 @@
                 return
             self.last_read_at = self.event_loop.now
             self.bytes_received += size
-            if not len(ring) and (self.machine.complete_frame_count or not self.peer_is_client):
+            if not self._is_mid_frame():
                 self.frame_timeout_since = self.event_loop.now
             ring.mark_written(size)
             self._parse_input()
--- a/corkgauge/eventloop/ring_buffer.py
+++ b/corkgauge/eventloop/ring_buffer.py
@@ -2,32 +2,14 @@
 
 A ring buffer holds the bytes of one direction between a socket and the protocol's state machine, at
 most one frame of the largest legal size, and does not interpret them. A connection whose input ring
-buffer is full stops reading.
+buffer is full stops reading until the budget has memory for a larger one, or discards the input.
 """
 
-INITIAL_BYTES = 4096  # capacity of a new or empty ring buffer
-
+from collections.abc import Callable
 
-class MemoryBudget:
-    """Limit of the bytes that many ring buffers hold beyond their initial sizes.
-
-    A caller whose reservation fails tries again later.
-    """
+from corkgauge.eventloop.memory_budget import MemoryBudget, MemoryWaiter
 
-    def __init__(self, limit_bytes: int) -> None:
-        self.limit_bytes = limit_bytes
-        self.reserved_bytes = 0
-
-    def reserve(self, size: int) -> bool:
-        """Reserve `size` bytes; return False and reserve nothing if fewer are left."""
-        if self.reserved_bytes + size > self.limit_bytes:
-            return False
-        self.reserved_bytes += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Release `size` reserved bytes."""
-        self.reserved_bytes -= size
+INITIAL_BYTES = 4096  # capacity of a new or empty ring buffer
 
 
 class RingBuffer:
@@ -47,6 +29,10 @@
         self.storage = bytearray(self.initial_bytes)
         self.head = 0  # index of the first stored byte
         self.size = 0  # number of stored bytes
+        self.kept_free_bytes = 0  # of the budget, which this ring buffer leaves to others
+        self.discard_bytes_left = 0  # bytes yet to be received that are dropped on arrival
+        self._refused_bytes = 0  # growth that the budget refused last
+        self._waiter: MemoryWaiter | None = None
 
     def __len__(self) -> int:
         return self.size
@@ -63,7 +49,11 @@
             return True
         # Growing by doubling avoids a copy of all bytes for each small read.
         new_capacity = min(max(total_bytes, 2 * capacity), self.max_bytes)
-        if total_bytes > self.max_bytes or not self.budget.reserve(new_capacity - capacity):
+        if total_bytes > self.max_bytes:
+            return False
+        growth = new_capacity - capacity
+        if not self.budget.reserve(growth, self.kept_free_bytes):
+            self._refused_bytes = growth
             return False
         held = self.peek(self.size)
         self.storage = bytearray(new_capacity)
@@ -71,6 +61,18 @@
         self.storage[: len(held)] = held
         return True
 
+    def notify_when_free(self, notify: Callable[[], None]) -> None:
+        """Call `notify` once, when there is memory for the growth that was refused last."""
+        self.stop_waiting()
+        self._waiter = MemoryWaiter(self._refused_bytes, notify, self.kept_free_bytes)
+        self.budget.wait(self._waiter)
+
+    def stop_waiting(self) -> None:
+        """Cancel `notify_when_free`."""
+        if self._waiter is not None:
+            self.budget.stop_waiting(self._waiter)
+            self._waiter = None
+
     def put(self, data: bytes) -> bool:
         """Append all of the data; return False and append nothing if there is no room."""
         if not self.reserve(self.size + len(data)):
@@ -99,6 +101,12 @@
                 self.budget.release(len(self.storage) - self.initial_bytes)
                 self.storage = bytearray(self.initial_bytes)
 
+    def discard(self, size: int) -> None:
+        """Remove the next `size` bytes: those that are stored now, and the others on arrival."""
+        stored_bytes = min(size, self.size)
+        self.drop(stored_bytes)
+        self.discard_bytes_left = size - stored_bytes
+
     def drop_last(self, size: int) -> None:
         """Remove the `size` bytes that were appended last."""
         self.size -= size
@@ -124,6 +132,8 @@
     def mark_written(self, size: int) -> None:
         """Add `size` bytes that were written to the `writable_view` to the stored bytes."""
         self.size += size
+        if self.discard_bytes_left:
+            self.discard(self.discard_bytes_left)
 
     def readable_view(self) -> memoryview:
         """Return the first contiguous stored bytes, to write from.
@@ -134,5 +144,6 @@
 
     def close(self) -> None:
         """Release all memory; the ring buffer cannot be used afterwards."""
+        self.stop_waiting()
         self.drop(self.size)
         self.storage = bytearray()
--- a/corkgauge/flow_export/tls.py
+++ b/corkgauge/flow_export/tls.py
@@ -8,7 +8,8 @@
 import ssl
 from typing import NamedTuple, Protocol
 
-from corkgauge.eventloop.ring_buffer import MemoryBudget, RingBuffer
+from corkgauge.eventloop.memory_budget import MemoryBudget
+from corkgauge.eventloop.ring_buffer import RingBuffer
 
 INWARD_BUFFER_BYTES = 32_768
 OUTWARD_BUFFER_BYTES = 262_144
--- a/corkgauge/flow_export/transports.py
+++ b/corkgauge/flow_export/transports.py
@@ -14,7 +14,8 @@
 
 from corkgauge.eventloop.connection import StreamConnection, dial
 from corkgauge.eventloop.loop import READ, EventLoop
-from corkgauge.eventloop.ring_buffer import MemoryBudget, RingBuffer
+from corkgauge.eventloop.memory_budget import MemoryBudget
+from corkgauge.eventloop.ring_buffer import RingBuffer
 from corkgauge.flow_export.collector_peer import CollectorPeer
 from corkgauge.flow_export.export_buffer import TICKS_PER_SECOND, ExportBuffer
 from corkgauge.flow_export.tls import TlsMachine, TlsTarget
--- a/corkgauge/net/client_connection.py
+++ b/corkgauge/net/client_connection.py
@@ -30,6 +30,9 @@
 MAX_FAULT_COUNT = 32
 # A cancellation this close before the request's deadline counts as an expired request.
 DEADLINE_TOLERANCE_TICKS = 500
+# One part in so many of the memory for input is kept for clients that have sent a usable request:
+# clients that never complete one would otherwise use up all of it.
+KNOWN_CLIENTS_MEMORY_DIVISOR = 4
 REQUEST_OVERHEAD_BYTES = 3_000  # memory of a request in addition to its statement
 
 
@@ -90,12 +93,29 @@
             True,
         )
         self.answers = AnswerQueue(socket_host, self.link)
+        self.link.machine.inward.kept_free_bytes = (
+            socket_host.client_ring_memory.limit_bytes // KNOWN_CLIENTS_MEMORY_DIVISOR
+        )
 
     def on_request_frame(self, stream: int, fields: dict[str, str], body: bytes) -> str:
         """Accept a request; return why the connection must be closed, or an empty string."""
         wrong = self._reason_if_answers_unread()
         return wrong or self.socket_host.on_request(self, stream, fields, body)
 
+    def on_request_discarded(self, stream: int) -> str:
+        """Refuse a request that was discarded for lack of memory.
+
+        Returns why the connection must be closed, or an empty string.
+        """
+        self.socket_host.counters["no memory"] += 1
+        self.socket_host.ledger.record_rejected(self.socket_host.ledger.unusable_row)
+        self.send_answer(stream, REFUSED, [])
+        return self._reason_if_answers_unread()
+
+    def on_request_accepted(self) -> None:
+        """Let the client use all memory for input, as it has sent a usable request."""
+        self.link.machine.inward.kept_free_bytes = 0
+
     def _reason_if_answers_unread(self) -> str:
         """Return a reason to close the connection of a client that does not read its answers.
 
--- a/corkgauge/net/client_protocol.py
+++ b/corkgauge/net/client_protocol.py
@@ -6,9 +6,10 @@
 """
 
 from struct import Struct
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
-from corkgauge.eventloop.ring_buffer import MemoryBudget, RingBuffer
+from corkgauge.eventloop.memory_budget import MemoryBudget
+from corkgauge.eventloop.ring_buffer import RingBuffer
 
 MAX_FRAME_BYTES = 262_144  # largest value of the length field, which counts the bytes after it
 LENGTH_BYTES = 4
@@ -42,6 +43,9 @@
     def on_request_frame(self, stream: int, fields: dict[str, str], body: bytes) -> str:
         """Handle a request."""
 
+    def on_request_discarded(self, stream: int) -> str:
+        """Handle a request that was received whole, and discarded for lack of memory."""
+
     def on_cancel_frame(self, stream: int) -> str:
         """Cancel the request of a stream."""
 
@@ -52,6 +56,14 @@
         """Handle an unusable frame; stream 0 means that the frame belongs to no stream."""
 
 
+class FrameHeader(NamedTuple):
+    """What precedes the payload of a frame; `size` is that of the whole frame in bytes."""
+
+    size: int
+    kind: int
+    stream: int
+
+
 class ClientProtocol:
     """Parses frames and passes each of them to its owner.
 
@@ -64,9 +76,19 @@
         self.complete_frame_count = 0
         self.inward = RingBuffer(MAX_FRAME_BYTES + LENGTH_BYTES, memory_budget)
         self.outward = RingBuffer(MAX_FRAME_BYTES + LENGTH_BYTES, memory_budget)
+        # Frame of which the rest is discarded on arrival, None if there is none.
+        self._discarded: FrameHeader | None = None
 
     def parse_input(self) -> str:
         """Handle all complete frames; return why to close the connection, or an empty string."""
+        if self._discarded is not None:
+            if self.inward.discard_bytes_left:
+                return ""
+            if wrong := self._on_frame_discarded(self._discarded):
+                return wrong
+        return self._parse_frames()
+
+    def _parse_frames(self) -> str:
         ring = self.inward
         while len(ring) >= LENGTH_BYTES:
             length = int.from_bytes(ring.peek(LENGTH_BYTES), "little")
@@ -74,9 +96,11 @@
                 return f"a frame of length {length}"
             size = length + LENGTH_BYTES
             if len(ring) < size:
-                # The announced length is not trusted: memory grows with the bytes received.
+                # The announced length is not trusted until the initial buffer is full. Memory is
+                # then reserved for the whole frame: connections that hold part of what they need
+                # could all wait for each other.
                 if not ring.free_bytes:
-                    ring.reserve(min(size, 2 * len(ring)))
+                    ring.reserve(size)
                 break
             kind, stream = STREAM.unpack(ring.peek(STREAM.size, LENGTH_BYTES))
             payload = ring.take(size)[HEADER.size :]
@@ -85,12 +109,34 @@
                 return wrong
         return ""
 
+    def discard_frame(self) -> None:
+        """Give up the incomplete frame in `inward`, of which at least the header is there.
+
+        What is there is removed, and the rest is removed on arrival. The owner is notified once all
+        of it has arrived: a request is not complete before, and may still be abandoned.
+        """
+        length, kind, stream = HEADER.unpack(self.inward.peek(HEADER.size))
+        self._discarded = FrameHeader(length + LENGTH_BYTES, kind, stream)
+        self.inward.discard(self._discarded.size)
+
+    def _on_frame_discarded(self, header: FrameHeader) -> str:
+        self._discarded = None
+        self.complete_frame_count += 1
+        if header.kind != REQUEST:
+            return self._on_frame(header.kind, header.stream, b"")
+        return self._open_stream(header.stream) or self.owner.on_request_discarded(header.stream)
+
+    def _open_stream(self, stream: int) -> str:
+        # If a stream number were used twice, its answers could not be told apart.
+        if stream <= self.last_stream:
+            return f"stream {stream} is not new"
+        self.last_stream = stream
+        return ""
+
     def _on_frame(self, kind: int, stream: int, payload: bytes) -> str:
         if kind == REQUEST:
-            # If a stream number were used twice, its answers could not be told apart.
-            if stream <= self.last_stream:
-                return f"stream {stream} is not new"
-            self.last_stream = stream
+            if wrong := self._open_stream(stream):
+                return wrong
             fields, body, wrong = read_payload(payload)
             if wrong:
                 return self.owner.on_unusable_frame(stream, wrong)
--- a/corkgauge/net/discovery_protocol.py
+++ b/corkgauge/net/discovery_protocol.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from corkgauge.eventloop.ring_buffer import MemoryBudget, RingBuffer
+from corkgauge.eventloop.memory_budget import MemoryBudget
+from corkgauge.eventloop.ring_buffer import RingBuffer
 
 MAX_UNREAD_BYTES = 262_144
 MAX_HEADER_LINE_BYTES = 16_384
--- a/corkgauge/net/engine_protocol.py
+++ b/corkgauge/net/engine_protocol.py
@@ -8,7 +8,8 @@
 import re
 from typing import Protocol
 
-from corkgauge.eventloop.ring_buffer import MemoryBudget, RingBuffer
+from corkgauge.eventloop.memory_budget import MemoryBudget
+from corkgauge.eventloop.ring_buffer import RingBuffer
 
 MAX_ANSWER_BYTES = 16_384  # holds a page of 6,000 bytes in any framing
 MAX_COMMAND_BYTES = 262_144 + 4_096  # holds a statement as large as a client's frame
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -20,7 +20,7 @@
 from corkgauge.config.platform import ConfigurationError, PlatformConfig
 from corkgauge.config.settings import Settings
 from corkgauge.eventloop.loop import SECOND, EventLoop
-from corkgauge.eventloop.ring_buffer import MemoryBudget
+from corkgauge.eventloop.memory_budget import MemoryBudget
 from corkgauge.net.amounts import parse_amount, parse_load
 from corkgauge.net.client_connection import ClientRequest
 from corkgauge.net.client_protocol import FAILED, REFUSED, SERVED
--- a/corkgauge/net/platform_frontend.py
+++ b/corkgauge/net/platform_frontend.py
@@ -285,6 +285,7 @@
         while the connection has unread bytes.
         """
         client_request = request.host_reference
+        client_connection.on_request_accepted()
         if self.recovery is not None and client_request.idempotency_key:
             self.recovery.restrict_retry(request, client_request.idempotency_key)
         client_connection.open[client_request.stream] = self.open_requests[client_request.name] = (
--- a/corkgauge/testkit/emulators/collector.py
+++ b/corkgauge/testkit/emulators/collector.py
@@ -10,7 +10,8 @@
 from typing import Any
 
 from corkgauge.eventloop.loop import READ, EventLoop
-from corkgauge.eventloop.ring_buffer import MemoryBudget, RingBuffer
+from corkgauge.eventloop.memory_budget import MemoryBudget
+from corkgauge.eventloop.ring_buffer import RingBuffer
 from corkgauge.flow_export.decoder import (
     DecodedMessage,
     Decoder,
--- a/corkgauge/testkit/emulators/protocols.py
+++ b/corkgauge/testkit/emulators/protocols.py
@@ -6,7 +6,8 @@
 
 from typing import Any
 
-from corkgauge.eventloop.ring_buffer import MemoryBudget, RingBuffer
+from corkgauge.eventloop.memory_budget import MemoryBudget
+from corkgauge.eventloop.ring_buffer import RingBuffer
 from corkgauge.net.client_protocol import (
     ANSWER,
     HEADER,
--- a/tests/test_memory_shortage.py
+++ b/tests/test_memory_shortage.py
@@ -1,5 +1,7 @@
 """Tests of who goes on, and how, while the memory for buffers is used up by others."""
 
+from corkgauge.eventloop.connection import MAX_MEMORY_WAIT_TICKS
+from corkgauge.net.client_connection import FRAME_TIMEOUT_TICKS
 from tests.harness import HostHarness, request_frame, request_id
 
 FULL_PAGE = "a" * 5_997 + "\t\t\n"
@@ -34,3 +36,78 @@
     assert second[1:] == (2, b"\1", FULL_PAGE.encode())
     assert ready[:2] == (32, 10)
     assert not harness.socket_host.answering and not harness.logged
+
+
+LARGE_STATEMENT = b"select * from s_3.t" + b" " * 100_000
+
+
+def test_frame_that_waits_for_memory_is_read_once_memory_is_released():
+    """Guards against cutting off a client whose whole request was not read for lack of memory."""
+    harness = HostHarness()
+    client, engine = harness.connect_client(), harness.connect_engine()
+    budget = harness.socket_host.client_ring_memory
+    assert budget.reserve(budget.limit_bytes)
+    harness.send(client, request_frame(body=LARGE_STATEMENT))
+    harness.pass_time(4_000)
+    assert not harness.socket_host.open_requests
+    budget.release(budget.limit_bytes)
+    harness.turn()  # without any time: the release itself resumes reading
+    assert harness.receive(engine).count(LARGE_STATEMENT) == 1
+    harness.send_engine_command(engine, request_id(1), "DONE", "chunks=1", FULL_PAGE)
+    assert [answer[1:3] for answer in harness.receive_answers(client)] == [(1, b"\1")]
+
+
+def test_request_that_finds_no_memory_is_refused_on_its_stream_and_its_connection_goes_on():
+    """Guards against requests without any answer while others hold the memory for input."""
+    harness = HostHarness()
+    client, engine = harness.connect_client(), harness.connect_engine()
+    harness.send(client, request_frame(1))
+    use_up(harness.socket_host.client_ring_memory)
+    harness.send(client, request_frame(2, LARGE_STATEMENT) + request_frame(3))
+    harness.pass_time(6_000)
+    # The platform allows half a second after the request's time, which may be very short.
+    assert [answer[1:3] for answer in harness.receive_answers(client)] == [(2, b"\2")]
+    for number in (1, 3):
+        harness.send_engine_command(engine, request_id(number), "DONE", "chunks=1", FULL_PAGE)
+    assert [answer[1:3] for answer in harness.receive_answers(client)] == [(1, b"\1"), (3, b"\1")]
+    assert harness.socket_host.counters["no memory"] == 1 and not harness.logged
+
+
+def test_time_limit_of_a_frame_does_not_run_while_the_frame_waits_for_memory():
+    """Guards against a limit on the client's time that counts time in which nothing was read."""
+    harness = HostHarness()
+    client = harness.connect_client()
+    budget = harness.socket_host.client_ring_memory
+    frame = request_frame(body=LARGE_STATEMENT)
+    assert budget.reserve(budget.limit_bytes)
+    harness.send(client, frame[:5_000])
+    harness.pass_time(4_000)
+    budget.release(budget.limit_bytes)
+    harness.turn()
+    harness.pass_time(FRAME_TIMEOUT_TICKS - 1_000)  # of the client's own time
+    harness.send(client, frame[5_000:])
+    assert len(harness.socket_host.open_requests) == 1
+
+
+def test_frame_without_end_is_rejected_while_it_is_discarded():
+    harness = HostHarness()
+    client = harness.connect_client()
+    use_up(harness.socket_host.client_ring_memory)
+    harness.send(client, request_frame(body=LARGE_STATEMENT)[:-9])
+    harness.pass_time(MAX_MEMORY_WAIT_TICKS + FRAME_TIMEOUT_TICKS + 500)
+    assert harness.receive_answers(client) == [(4, 0, b"\3", b"a frame that does not end")]
+
+
+def test_clients_that_complete_no_frame_leave_memory_to_those_that_have():
+    """Guards against bad clients that take the memory for input from all others."""
+    harness = HostHarness()
+    budget = harness.socket_host.client_ring_memory
+    budget.limit_bytes = 1_000_000
+    client, engine = harness.connect_client(), harness.connect_engine()
+    harness.send(client, request_frame(1))
+    endless_frame = request_frame(body=b" " * 200_000)[:100_000]
+    endless_clients = [harness.connect_client() for _ in range(10)]  # memory is there for half
+    for endless_client in endless_clients:
+        harness.send(endless_client, endless_frame)
+    harness.send(client, request_frame(2, LARGE_STATEMENT))
+    assert harness.receive(engine).count(LARGE_STATEMENT) == 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,7 +14,8 @@
 from corkgauge.daemon.configuration_reload import ConfigurationReloader
 from corkgauge.eventloop.connection import dial
 from corkgauge.eventloop.loop import EventLoop
-from corkgauge.eventloop.ring_buffer import MemoryBudget, RingBuffer
+from corkgauge.eventloop.memory_budget import MemoryBudget
+from corkgauge.eventloop.ring_buffer import RingBuffer
 from corkgauge.net import client_connection as client_connection_module
 from corkgauge.net import discovery_protocol
 from corkgauge.net.client_protocol import ClientProtocol
