Result pages that wait for memory are requested whoever releases it

Callers would see: a result of several pages stood still until its time limit although clients had read the answers that held the memory. Cause: the queue was continued only where an attempt ended. It now waits at the budget. Found as a related path of answers that were never sent. test_pages_of_a_result_are_requested_when_a_client_frees_memory_by_reading fails before.

--- a/corkgauge/net/results.py
+++ b/corkgauge/net/results.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
+from corkgauge.eventloop.memory_budget import MemoryWaiter
 from corkgauge.net.amounts import parse_amount
 from corkgauge.net.engine_protocol import MAX_PAGE_BYTES, is_valid_page
 from corkgauge.net.in_flight import InFlightAttempt
@@ -31,6 +32,7 @@
         self.host = host
         # Attempts whose further pages are requested once the memory budget has room for them.
         self.awaiting_memory: deque[InFlightAttempt] = deque()
+        self._waiter: MemoryWaiter | None = None
 
     def on_first_page(
         self, in_flight: InFlightAttempt, fields: Mapping[str, str], body: bytes
@@ -83,6 +85,7 @@
             if in_flight.attempt in self.host.in_flight_attempts:
                 size = MAX_PAGE_BYTES * len(in_flight.pages)
                 if not self.host.result_memory.reserve(size):
+                    self._wait_for_memory(size)
                     return
                 in_flight.reserved_page_bytes = size
                 for number in range(1, len(in_flight.pages)):
@@ -92,6 +95,19 @@
                 )
             self.awaiting_memory.popleft()
 
+    def _wait_for_memory(self, size: int) -> None:
+        """Request pages once `size` bytes are free, whoever releases them.
+
+        Answers that clients read late hold memory too, so the end of an attempt is not enough.
+        """
+        if self._waiter is not None:
+            self.host.result_memory.stop_waiting(self._waiter)
+        self._waiter = MemoryWaiter(size, self._defer_page_requests)
+        self.host.result_memory.wait(self._waiter)
+
+    def _defer_page_requests(self) -> None:
+        self.host.event_loop.deferred_callbacks.append(self.request_pages)
+
     def on_pages_late(self, in_flight: InFlightAttempt, earlier_count: int, since: int) -> None:
         """Fail an attempt whose next page is overdue; called again by timer.
 
--- a/tests/test_memory_shortage.py
+++ b/tests/test_memory_shortage.py
@@ -111,3 +111,18 @@
         harness.send(endless_client, endless_frame)
     harness.send(client, request_frame(2, LARGE_STATEMENT))
     assert harness.receive(engine).count(LARGE_STATEMENT) == 1
+
+
+def test_pages_of_a_result_are_requested_when_a_client_frees_memory_by_reading():
+    """Guards against results that wait until an attempt ends although memory was freed before."""
+    harness = HostHarness()
+    client, engine = harness.connect_client(), harness.connect_engine()
+    budget = harness.socket_host.result_memory
+    assert budget.reserve(budget.limit_bytes)  # as by answers that wait for their clients
+    harness.send(client, request_frame(1))
+    harness.receive(engine)
+    harness.send_engine_command(engine, request_id(1), "DONE", "chunks=2", FULL_PAGE)
+    assert b"more" not in harness.receive(engine)
+    harness.event_loop.call_later(1, budget.release, budget.limit_bytes)
+    harness.pass_time(50)
+    assert b"more" in harness.receive(engine)
