An attempt that finds no send memory waits for it, and blames no engine

Callers would see: with engines that do not read, healthy ones were ejected as unreached, and large statements failed over. Cause: the pool did not tell a full socket from a lack of memory, was not woken when memory was released, and let the attempt fail as an unreachable engine after the time limit of a dial. It now waits at the budget; lacks_descriptor became lacks_resource. Two tests fail before: the attempt was not sent after a release, and the log had `rest e1 unreached`.

--- a/corkgauge/eventloop/ring_buffer.py
+++ b/corkgauge/eventloop/ring_buffer.py
@@ -55,12 +55,18 @@
         if not self.budget.reserve(growth, self.kept_free_bytes):
             self._refused_bytes = growth
             return False
+        self._refused_bytes = 0
         held = self.peek(self.size)
         self.storage = bytearray(new_capacity)
         self.head = 0
         self.storage[: len(held)] = held
         return True
 
+    @property
+    def lacks_memory(self) -> bool:
+        """Whether the last growth was refused by the budget."""
+        return self._refused_bytes > 0
+
     def notify_when_free(self, notify: Callable[[], None]) -> None:
         """Call `notify` once, when there is memory for the growth that was refused last."""
         self.stop_waiting()
--- a/corkgauge/net/engine_pool.py
+++ b/corkgauge/net/engine_pool.py
@@ -30,7 +30,7 @@
         "is_dialling",
         "is_fill_due",
         "is_filling",
-        "lacks_descriptor",
+        "lacks_resource",
         "links",
         "next_spare_dial_at",
         "number",
@@ -57,7 +57,7 @@
         self.address_generation = 0
         self.is_filling = False  # `fill` is running
         self.is_fill_due = False  # `fill` is scheduled to run after the current task
-        self.lacks_descriptor = False  # the last dial found no free descriptor in this process
+        self.lacks_resource = False  # no descriptor or buffer memory of this process was free
 
     def enqueue(self, in_flight_attempt: InFlightAttempt) -> None:
         """Queue an attempt for a connection.
@@ -67,9 +67,7 @@
         """
         self.waiting.append(in_flight_attempt)
         self.socket_host.pools_with_waiting[self] = None
-        if not self.is_fill_due:
-            self.is_fill_due = True
-            self.socket_host.event_loop.deferred_callbacks.append(self.fill)
+        self._schedule_fill()
 
     def fill(self) -> None:
         """Write waiting attempts to connections with room, and dial if another one is needed.
@@ -107,9 +105,29 @@
                 and link.has_room_for(in_flight_attempt.client_request)
             ):
                 if not link.send_attempt(in_flight_attempt):
+                    self._wait_for_memory(link)
                     return
+                self.lacks_resource = False
                 del self.waiting[0]
 
+    def _wait_for_memory(self, link: EngineConnection) -> None:
+        """Write waiting attempts again when buffer memory is released, if none was free.
+
+        Connections to engines that do not read may use up the memory for all engines. That is not
+        the fault of the engine of this pool.
+        """
+        send_buffer = link.link.machine.outward
+        if link.link.is_write_blocked or link.link.close_reason or not send_buffer.lacks_memory:
+            return
+        self.lacks_resource = True
+        self.socket_host.counters["no send memory"] += 1
+        send_buffer.notify_when_free(self._schedule_fill)
+
+    def _schedule_fill(self) -> None:
+        if not self.is_fill_due:
+            self.is_fill_due = True
+            self.socket_host.event_loop.deferred_callbacks.append(self.fill)
+
     def _link_for(self, client_request: ClientRequest) -> EngineConnection | None:
         """Return the connection with the fewest open attempts that has room and is not closed.
 
@@ -168,7 +186,7 @@
 
     def _wait_for_descriptor(self) -> None:
         """Retry the dial in 10 ms: a lack of descriptors here is not the engine's fault."""
-        self.lacks_descriptor = True
+        self.lacks_resource = True
         self.next_spare_dial_at = self.socket_host.now + SECOND
         self.socket_host.counters["no descriptor"] += 1
         self.socket_host.event_loop.call_later(SECOND // 100, self.fill)
@@ -186,7 +204,7 @@
             self.socket_host.make_room()
             self._wait_for_descriptor()
             return
-        self.lacks_descriptor = False
+        self.lacks_resource = False
         if sock is None:
             self.socket_host.counters["unreached"] += 1
             # Without this pause an engine that accepts no connection would be dialled in a loop.
--- a/tests/test_memory_shortage.py
+++ b/tests/test_memory_shortage.py
@@ -126,3 +126,26 @@
     harness.event_loop.call_later(1, budget.release, budget.limit_bytes)
     harness.pass_time(50)
     assert b"more" in harness.receive(engine)
+
+
+def test_attempt_that_found_no_buffer_memory_is_sent_when_memory_is_released():
+    """Guards against engines that count as unreachable because others do not read."""
+    harness = HostHarness()
+    client, engine = harness.connect_client(), harness.connect_engine()
+    budget = harness.socket_host.server_ring_memory
+    assert budget.reserve(budget.limit_bytes)  # as by connections to engines that do not read
+    harness.send(client, request_frame(1, LARGE_STATEMENT))
+    assert harness.receive(engine) == b""
+    harness.event_loop.call_later(1, budget.release, budget.limit_bytes)
+    harness.pass_time(50)
+    assert harness.receive(engine).count(LARGE_STATEMENT) == 1
+
+
+def test_engine_does_not_count_as_unreachable_while_attempts_wait_for_buffer_memory():
+    harness = HostHarness(limits={"mostTries": 3, "streamsPerConn": 4, "dialTimeoutUs": 250_000})
+    client, _engine = harness.connect_client(), harness.connect_engine()
+    use_up(harness.socket_host.server_ring_memory)
+    harness.send(client, request_frame(1, LARGE_STATEMENT))
+    harness.pass_time(3_000)
+    assert harness.socket_host.counters["no send memory"]
+    assert not any(" unreached " in line for line in harness.logged)
