A time limit does not end over input that came while the process stood still

Callers would see: after a standstill of 0.3 to 2 s, cut-off requests, failed attempts on healthy engines, engines taken for unreachable, and a lost feed. Cause: timers run before the first poll, so a limit ended although what it waited for had arrived. Found as a related path of requests that were cut off while nothing was read.

Change: a wait whose deadline has passed polls once more and returns the event; a keepalive's answer and the feed's silence are judged only when no input is unread.

--- a/corkgauge/eventloop/loop.py
+++ b/corkgauge/eventloop/loop.py
@@ -168,7 +168,9 @@
     def _on_wait_timeout(self, fd: int, timeout_serial: int) -> None:
         # Another task, or none, may wait for the descriptor now; the serial identifies the wait.
         if self.parked.get(fd, NOT_PARKED)[1] == timeout_serial:
-            self.wake(fd)
+            # After a standstill of the process, timers run before the first poll. An event that
+            # came meanwhile was in time.
+            self.wake(fd, dict(self._poller.poll(0)).get(fd, 0))
 
     def sleep(self, ticks: int) -> None:
         """Park the calling task for this many ticks."""
--- a/corkgauge/net/discovery.py
+++ b/corkgauge/net/discovery.py
@@ -109,14 +109,18 @@
         if link.machine.complete_frame_count != known_lines:
             known_lines = link.machine.complete_frame_count
             line_since = now
+        wrong = ""
         if now - link.last_read_at > MAX_SILENCE_TICKS:
-            link.close("no byte received for 1.5 s")
+            wrong = "no byte received for 1.5 s"
         elif now - line_since > MAX_LINE_TICKS:
-            link.close("no complete line received for 3 s")
-        else:
-            self.socket_host.event_loop.call_later(
-                CHECK_INTERVAL_TICKS, self.check_alive, link, known_lines, line_since
-            )
+            wrong = "no complete line received for 3 s"
+        # What has arrived and was not read yet, as after a standstill, came in time.
+        if wrong and not link.has_unread_input():
+            link.close(wrong)
+            return
+        self.socket_host.event_loop.call_later(
+            CHECK_INTERVAL_TICKS, self.check_alive, link, known_lines, line_since
+        )
 
     def on_output_drained(self) -> None:
         """Do nothing: after the request there is nothing more to send."""
--- a/corkgauge/net/engine_connection.py
+++ b/corkgauge/net/engine_connection.py
@@ -205,7 +205,8 @@
         # Without this check all attempts in flight on them would wait for their time limits.
         now = self.socket_host.now
         quiet_ticks = now - self.link.last_read_at
-        if now >= self.keepalive_sent_at + KEEPALIVE_TIMEOUT_TICKS:
+        is_overdue = now >= self.keepalive_sent_at + KEEPALIVE_TIMEOUT_TICKS
+        if is_overdue and not self.link.has_unread_input():
             self.link.close("keepalive not answered")
             return
         awaits_keepalive = self.keepalive_sent_at != NEVER
