Clients that do not read no longer hold the memory of requests and other results

Callers would see: large requests refused, and results failed, beside clients that do not read their answers. Cause: send buffers of clients grew from the budget of request buffers, and an expired answer kept its part of the memory for results until its client read. Send buffers have a budget of their own, a quarter of the one before; an expired answer is replaced by a short failure on time.

The parse tests hand ClientProtocol both budgets; what they check is the same.

--- a/corkgauge/net/answer_queue.py
+++ b/corkgauge/net/answer_queue.py
@@ -100,8 +100,19 @@
             answer = self._failure_instead_of(answer)
             reserved_bytes = 0
         self._waiting.append(_WaitingFrame(b"".join(answer.parts()), answer, reserved_bytes))
+        if answer.expires_at != NEVER:
+            delay_ticks = answer.expires_at - self.socket_host.now
+            self.socket_host.event_loop.call_later(delay_ticks, self._replace_expired)
         self._fill_send_buffer()
 
+    def _replace_expired(self) -> None:
+        """Replace expired answers by failures; called by timer at the end of each request's time.
+
+        Otherwise a client that does not read would hold the memory for results of all clients.
+        """
+        for frame in self._waiting:
+            self._replace_if_expired(frame)
+
     def _failure_instead_of(self, answer: Answer) -> Answer:
         """Record that an answer was not read in time; return the failure that replaces it."""
         if answer.client_request is not None:
--- a/corkgauge/net/client_connection.py
+++ b/corkgauge/net/client_connection.py
@@ -87,14 +87,14 @@
         self.link = StreamConnection(
             socket_host.event_loop,
             sock,
-            ClientProtocol(self, socket_host.client_ring_memory),
+            ClientProtocol(self, socket_host.client_input_memory, socket_host.client_output_memory),
             self,
             FRAME_TIMEOUT_TICKS,
             True,
         )
         self.answers = AnswerQueue(socket_host, self.link)
         self.link.machine.inward.kept_free_bytes = (
-            socket_host.client_ring_memory.limit_bytes // KNOWN_CLIENTS_MEMORY_DIVISOR
+            socket_host.client_input_memory.limit_bytes // KNOWN_CLIENTS_MEMORY_DIVISOR
         )
 
     def on_request_frame(self, stream: int, fields: dict[str, str], body: bytes) -> str:
--- a/corkgauge/net/client_protocol.py
+++ b/corkgauge/net/client_protocol.py
@@ -70,12 +70,14 @@
     `complete_frame_count` counts the complete frames.
     """
 
-    def __init__(self, owner: FrameOwner, memory_budget: MemoryBudget) -> None:
+    def __init__(
+        self, owner: FrameOwner, input_memory: MemoryBudget, output_memory: MemoryBudget
+    ) -> None:
         self.owner = owner
         self.last_stream = 0
         self.complete_frame_count = 0
-        self.inward = RingBuffer(MAX_FRAME_BYTES + LENGTH_BYTES, memory_budget)
-        self.outward = RingBuffer(MAX_FRAME_BYTES + LENGTH_BYTES, memory_budget)
+        self.inward = RingBuffer(MAX_FRAME_BYTES + LENGTH_BYTES, input_memory)
+        self.outward = RingBuffer(MAX_FRAME_BYTES + LENGTH_BYTES, output_memory)
         # Frame of which the rest is discarded on arrival, None if there is none.
         self._discarded: FrameHeader | None = None
 
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -41,6 +41,7 @@
 
 # Progress reports on an attempt that an engine may omit before the attempt counts as lost.
 MAX_MISSED_REPORT_COUNT = 3
+CLIENT_OUTPUT_DIVISOR = 4  # one part in so many of the memory for client buffers is for output
 MIN_HELD_BYTES = 4 * 2**20  # least memory for buffers and records together
 AUDIT_PAUSE_TICKS = SECOND  # pause between two passes over the ledger
 AUDIT_SLICE_PAUSE_TICKS = 20  # pause between two slices of a pass
@@ -84,7 +85,11 @@
         # equal parts; the rest is for records. With a small limit the process itself uses most of
         # the memory, so the size at the start has to be subtracted first.
         part_bytes = max(platform_config.memory_bytes - used_bytes, MIN_HELD_BYTES) // 2 // 4
-        self.client_ring_memory = MemoryBudget(part_bytes)  # ring buffers of client connections
+        # Buffers of client connections. Clients that do not read their answers must not take the
+        # memory for requests. An answer is sent without this memory too, in more system calls.
+        client_output_bytes = part_bytes // CLIENT_OUTPUT_DIVISOR
+        self.client_input_memory = MemoryBudget(part_bytes - client_output_bytes)
+        self.client_output_memory = MemoryBudget(client_output_bytes)
         # Ring buffers of connections to engines and to discovery.
         self.server_ring_memory = MemoryBudget(part_bytes)
         self.result_memory = MemoryBudget(part_bytes)
--- a/corkgauge/net/platform_frontend.py
+++ b/corkgauge/net/platform_frontend.py
@@ -114,7 +114,8 @@
         )
         answer_count = sum(len(each.answers) for each in self.client_connections)
         budgets = {
-            "client_buffers": self.client_ring_memory,
+            "client_input": self.client_input_memory,
+            "client_output": self.client_output_memory,
             "server_buffers": self.server_ring_memory,
             "results": self.result_memory,
             "statements": self.statement_memory,
--- a/tests/test_connection_races.py
+++ b/tests/test_connection_races.py
@@ -235,8 +235,8 @@
     _engine, _ = harness.connect_engine()
     harness.send_and_wait(client, request_frame(), client_connection)
     # No memory is left, so further input pauses reading.
-    harness.socket_host.client_ring_memory.limit_bytes = (
-        harness.socket_host.client_ring_memory.reserved_bytes
+    harness.socket_host.client_input_memory.limit_bytes = (
+        harness.socket_host.client_input_memory.reserved_bytes
     )
     client.sendall((200_000).to_bytes(4, "little") + b"\2" + b"x" * 9_000)
     wait_for_input(client_connection.link.sock)
--- a/tests/test_memory_shortage.py
+++ b/tests/test_memory_shortage.py
@@ -1,6 +1,9 @@
 """Tests of who goes on, and how, while the memory for buffers is used up by others."""
 
+import socket
+
 from corkgauge.eventloop.connection import MAX_MEMORY_WAIT_TICKS
+from corkgauge.eventloop.loop import SECOND
 from corkgauge.net.client_connection import FRAME_TIMEOUT_TICKS
 from tests.harness import HostHarness, request_frame, request_id
 
@@ -27,7 +30,7 @@
     client, engine = harness.connect_client(), harness.connect_engine()
     for number in (1, 2):
         harness.send(client, request_frame(number))
-    use_up(harness.socket_host.client_ring_memory)
+    use_up(harness.socket_host.client_output_memory)
     answer_with_full_pages(harness, engine, 1, 4)
     answer_with_full_pages(harness, engine, 2, 1)
     harness.send(client, READY_CHECK_FRAME)
@@ -45,7 +48,7 @@
     """Guards against cutting off a client whose whole request was not read for lack of memory."""
     harness = HostHarness()
     client, engine = harness.connect_client(), harness.connect_engine()
-    budget = harness.socket_host.client_ring_memory
+    budget = harness.socket_host.client_input_memory
     assert budget.reserve(budget.limit_bytes)
     harness.send(client, request_frame(body=LARGE_STATEMENT))
     harness.pass_time(4_000)
@@ -62,7 +65,7 @@
     harness = HostHarness()
     client, engine = harness.connect_client(), harness.connect_engine()
     harness.send(client, request_frame(1))
-    use_up(harness.socket_host.client_ring_memory)
+    use_up(harness.socket_host.client_input_memory)
     harness.send(client, request_frame(2, LARGE_STATEMENT) + request_frame(3))
     harness.pass_time(6_000)
     # The platform allows half a second after the request's time, which may be very short.
@@ -77,7 +80,7 @@
     """Guards against a limit on the client's time that counts time in which nothing was read."""
     harness = HostHarness()
     client = harness.connect_client()
-    budget = harness.socket_host.client_ring_memory
+    budget = harness.socket_host.client_input_memory
     frame = request_frame(body=LARGE_STATEMENT)
     assert budget.reserve(budget.limit_bytes)
     harness.send(client, frame[:5_000])
@@ -92,7 +95,7 @@
 def test_frame_without_end_is_rejected_while_it_is_discarded():
     harness = HostHarness()
     client = harness.connect_client()
-    use_up(harness.socket_host.client_ring_memory)
+    use_up(harness.socket_host.client_input_memory)
     harness.send(client, request_frame(body=LARGE_STATEMENT)[:-9])
     harness.pass_time(MAX_MEMORY_WAIT_TICKS + FRAME_TIMEOUT_TICKS + 500)
     assert harness.receive_answers(client) == [(4, 0, b"\3", b"a frame that does not end")]
@@ -101,7 +104,7 @@
 def test_clients_that_complete_no_frame_leave_memory_to_those_that_have():
     """Guards against bad clients that take the memory for input from all others."""
     harness = HostHarness()
-    budget = harness.socket_host.client_ring_memory
+    budget = harness.socket_host.client_input_memory
     budget.limit_bytes = 1_000_000
     client, engine = harness.connect_client(), harness.connect_engine()
     harness.send(client, request_frame(1))
@@ -149,3 +152,25 @@
     harness.pass_time(3_000)
     assert harness.socket_host.counters["no send memory"]
     assert not any(" unreached " in line for line in harness.logged)
+
+
+def test_clients_that_do_not_read_leave_memory_to_requests_and_to_other_results():
+    """Guards against clients that take memory from all others by not reading their answers."""
+    harness = HostHarness()
+    socket_host = harness.socket_host
+    socket_host.client_output_memory.limit_bytes = 20_000
+    socket_host.result_memory.limit_bytes = 30_000
+    client, engine = harness.connect_client(), harness.connect_engine()
+    (client_connection,) = socket_host.client_connections
+    client_connection.link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    for number in range(1, 11):
+        harness.send(client, request_frame(number, patience="2000"))
+        answer_with_full_pages(harness, engine, number, 1)
+    assert socket_host.client_output_memory.reserved_bytes and not (
+        socket_host.client_input_memory.reserved_bytes
+    )
+    assert socket_host.result_memory.reserved_bytes > 20_000
+    harness.pass_time(2 * SECOND)
+    # Of what has expired, only an answer that the client has begun to get keeps its memory.
+    assert socket_host.result_memory.reserved_bytes <= len(FULL_PAGE)
+    assert socket_host.counters["results dropped"]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -78,7 +78,8 @@
 def parse_pieces(protocol_class, pieces):
     """Parse the pieces in order; return the calls to the owner and the error text."""
     owner = RecordingOwner()
-    protocol = protocol_class(owner, MemoryBudget(MEMORY_LIMIT_BYTES))
+    budget_count = 2 if protocol_class is ClientProtocol else 1  # of input, and of output
+    protocol = protocol_class(owner, *[MemoryBudget(MEMORY_LIMIT_BYTES)] * budget_count)
     error = ""
     for piece in pieces:
         while piece and not error:
@@ -380,7 +381,8 @@
     )
     assert (
         send_request(harness, good, engine, 1, trace=request_id(500))
-        and not harness.socket_host.client_ring_memory.reserved_bytes
+        and not harness.socket_host.client_input_memory.reserved_bytes
+        and not harness.socket_host.client_output_memory.reserved_bytes
     )
 
 
@@ -408,7 +410,7 @@
     harness = HostHarness()
     for _ in range(50):
         harness.send(harness.connect_client(), (262_144).to_bytes(4, "little") + b"\2")
-    assert harness.socket_host.client_ring_memory.reserved_bytes == 0
+    assert harness.socket_host.client_input_memory.reserved_bytes == 0
 
 
 class DiscoveryServers:
