A delayed account no longer counts as a reply to a later round of the fleet accounts

The collector numbers its rounds from 1 under each fencing token and accepts a reply by that number alone, so a reply that the network delays past the loss of the lease counts in a later round with the same number, and replaces a newer account.

The number that replies repeat now counts the rounds under all tokens; the history keeps its own. The form of the datagrams is unchanged.

--- a/corkgauge/leases/fleet_accounts_collector.py
+++ b/corkgauge/leases/fleet_accounts_collector.py
@@ -36,6 +36,10 @@
         self.accounts = FleetAccounts()
         self.history = AccountsHistory()
         self.round_number = 0  # round under the current fencing token
+        # Rounds of this instance under all its fencing tokens; a reply repeats the number of its
+        # request. With `round_number`, a reply that is delayed beyond the loss of the lease would
+        # count as one to the same round under a later token.
+        self.request_number = 0
         self.fencing_token = 0
         self.epoch = str(service.member_list.codec.incarnation)
 
@@ -51,10 +55,11 @@
             return
         self.accounts.begin_round()
         self.round_number += 1
+        self.request_number += 1
         for member in self.service.member_list.list_present_members():
             if not self._may_act(fencing_token):  # check before each act, not once per round
                 return
-            self._send(member.name, AskAccount(self.lease, fencing_token, self.round_number))
+            self._send(member.name, AskAccount(self.lease, fencing_token, self.request_number))
         self.accounts.record_account(self.service.name, self.build_own_account())
         event_loop = self.service.event_loop
         event_loop.call_later(max(self.period_ticks // 2, 1), self.finish_round, fencing_token)
@@ -98,7 +103,7 @@
             self.history.append(datagram.entry)
 
     def _on_account(self, sender: str, reply: AccountReply) -> None:
-        if reply.round_number == self.round_number and self._may_act(self.fencing_token):
+        if reply.round_number == self.request_number and self._may_act(self.fencing_token):
             self.accounts.record_account(sender, reply.account)
 
     def build_own_account(self) -> dict[str, Any]:
