A request that may have arrived before an accepted one of its key is rejected

The loop now polls 25 ms at most and counts a poll that returns late as a standstill; a connection knows since when its input may have waited; a request with a key is rejected if it may have arrived before an accepted one from another connection.

--- a/corkgauge/eventloop/connection.py
+++ b/corkgauge/eventloop/connection.py
@@ -87,6 +87,10 @@
         self.peer_is_client = peer_is_client
         self.frame_timeout_since = event_loop.now
         self.paused_since = NEVER  # tick since which no input is read for lack of memory
+        # Earliest tick at which the input that is read now may have arrived.
+        self.unread_since = event_loop.now
+        self._is_input_drained = True  # the last read found no more input
+        self._last_read_turn = 0  # turn of the event loop
 
         # Byte counts of the connection, and the times of its last read and write.
         self.bytes_queued = 0
@@ -193,6 +197,7 @@
         # While this program did not read, the time limit for the frame did not run.
         self.frame_timeout_since += now - self.paused_since
         self.paused_since = NEVER
+        self._last_read_turn = self.event_loop.turn_number
 
     def is_peer_connected(self) -> bool:
         """Return whether the peer is still connected, by the state of the socket now.
@@ -237,6 +242,7 @@
     def _read(self, is_broken: bool) -> None:
         """Read the available input, in a few reads at most, and pass it to the machine."""
         ring = self.machine.inward
+        self._update_unread_since()
         for _ in range(MAX_CONSECUTIVE_READS):
             free_space = ring.writable_view()[:MAX_READ_BYTES]
             if not len(free_space):
@@ -246,6 +252,7 @@
             try:
                 size = self.sock.recv_into(free_space)
             except OSError as problem:
+                self._is_input_drained = True
                 if problem.errno not in RETRYABLE_ERRNOS:
                     self.close_reason = problem.strerror or "error"
                 return
@@ -253,14 +260,27 @@
                 self.close_reason = "closed"
                 return
             self.last_read_at = self.event_loop.now
+            self._is_input_drained = size < len(free_space)
             self.bytes_received += size
             if not self._is_mid_frame():
                 self.frame_timeout_since = self.event_loop.now
             ring.mark_written(size)
             self._parse_input()
-            if self.close_reason or size < len(free_space):
+            if self.close_reason or self._is_input_drained:
                 return
 
+    def _update_unread_since(self) -> None:
+        """Note since when the input that is read now may have waited.
+
+        Input that the last read left behind may be as old as what was read then. The next poll
+        reports it, so if this is not the next turn, nothing was left behind.
+        """
+        event_loop = self.event_loop
+        is_next_turn = event_loop.turn_number <= self._last_read_turn + 1
+        if self._is_input_drained or not is_next_turn:
+            self.unread_since = event_loop.now - event_loop.max_unread_ticks
+        self._last_read_turn = event_loop.turn_number
+
     def send(self, *buffers: bytes) -> bool:
         """Queue all buffers for writing.
 
--- a/corkgauge/eventloop/loop.py
+++ b/corkgauge/eventloop/loop.py
@@ -19,7 +19,10 @@
 SECOND = 10_000  # ticks
 TICKS_PER_MILLISECOND = 10
 NANOSECONDS_PER_TICK = 100_000
-MAX_POLL_MILLISECONDS = 1000  # longest wait of one turn
+# Longest wait of one turn. A poll that takes longer shows that the process stood still. A shorter
+# standstill may go unnoticed.
+MAX_POLL_MILLISECONDS = 25
+MAX_POLL_OVERRUN_TICKS = 100  # by which a poll may return late on a busy machine
 
 READ, WRITE = select.POLLIN, select.POLLOUT
 BROKEN = select.POLLHUP | select.POLLERR | select.POLLNVAL
@@ -79,6 +82,8 @@
         self.worst_turn = -1
         self._turn_began_at = self.now
         self._last_turn_ticks = 0
+        self._standstill_ticks = 0  # length of the last poll if it took longer than it should have
+        self.turn_number = 0
 
         # Tasks.
         self.parked: dict[int, ParkedTask] = {}  # by file descriptor
@@ -187,6 +192,14 @@
         """
         return self._last_turn_ticks + self.now - self._turn_began_at
 
+    @property
+    def max_unread_ticks(self) -> int:
+        """Longest time in ticks that input which is read now may have waited.
+
+        Other than `lag`, it includes a standstill of the process in the last poll.
+        """
+        return self.lag + self._standstill_ticks
+
     def turn(self, max_milliseconds: float = MAX_POLL_MILLISECONDS) -> None:
         """Run the ready tasks and due timers, then poll for events, at most until the next timer.
 
@@ -209,9 +222,14 @@
                 timeout_ms = min(ticks / TICKS_PER_MILLISECOND, max_milliseconds)
         self._last_turn_ticks = self.now - self._turn_began_at
         self.worst_turn = max(self.worst_turn, self._last_turn_ticks) if self.worst_turn >= 0 else 0
+        poll_began_at = self.clock()
         found = self._poller.poll(timeout_ms)
         self.update_now()
+        poll_ticks = self.now - poll_began_at
+        is_late = poll_ticks > timeout_ms * TICKS_PER_MILLISECOND + MAX_POLL_OVERRUN_TICKS
+        self._standstill_ticks = poll_ticks if is_late else 0
         self._turn_began_at = self.now
+        self.turn_number += 1
         for fd, events in found:
             self.wake(fd, events)
 
--- a/corkgauge/net/platform_frontend.py
+++ b/corkgauge/net/platform_frontend.py
@@ -234,6 +234,8 @@
             int(request_fields.work_ms * TICKS_PER_MS),
             float(request_fields.memory_mb),
             request_fields.order_key,
+            arrived_since=client_connection.link.unread_since,
+            connection=client_connection,
         )
         self._register_request(client_connection, request)
         return ""
--- a/corkgauge/policy/admission.py
+++ b/corkgauge/policy/admission.py
@@ -66,12 +66,16 @@
         )
         # When the gateway's processor is overloaded, every answer would be late: shed new requests.
         is_overloaded = self._host.lag > MAX_HOST_LAG_TICKS
-        if request.time_to_deadline <= self._deadline_margin_ticks or is_overloaded:
+        is_ordered = request_class.ordered and request.order_key != 0
+        # What cannot be put in order is rejected: the order of a key must never be wrong.
+        is_order_unknown = is_ordered and self._order.may_precede_accepted(request)
+        is_expired = request.time_to_deadline <= self._deadline_margin_ticks
+        if is_expired or is_overloaded or is_order_unknown:
             self.reject_or_fail(request)
             return
         time_left = request.time_to_deadline - self._deadline_margin_ticks
         self._host.call_later(time_left, self.on_deadline_near, request)
-        if request_class.ordered and request.order_key:
+        if is_ordered:
             self._append_to_key_order(request)
         else:
             self.enqueue(request)
--- a/corkgauge/policy/ordering.py
+++ b/corkgauge/policy/ordering.py
@@ -1,10 +1,16 @@
-"""Keyed order: sends the requests of one order key one at a time, in order of acceptance."""
+"""Keyed order: sends the requests of one order key one at a time, in order of arrival.
+
+The host accepts requests in the order in which it reads them. After a standstill of the process, or
+while a long request is read in parts, that may not be the order in which they arrived.
+"""
 
 from collections import deque
 from collections.abc import Callable
+from typing import Any, NamedTuple
 
 from corkgauge.policy.host import Host
 from corkgauge.policy.records import AttemptOutcome, Request
+from corkgauge.policy.units import TICKS_PER_SECOND
 
 # Outcomes after which an engine may still be executing the attempt for a while.
 POSSIBLY_RUNNING_OUTCOMES = (
@@ -13,6 +19,18 @@
     AttemptOutcome.CANCELLED,
 )
 
+# Clients send two requests of one key at least 60 ms apart; the network may take 10 ms of that.
+MIN_ARRIVAL_GAP_TICKS = 500
+# No deadline is that long, so no request can have waited unread for longer.
+KEPT_ACCEPTANCE_TICKS = 10 * TICKS_PER_SECOND
+
+
+class Acceptance(NamedTuple):
+    """When the latest request of an order key was accepted, and on which connection."""
+
+    accepted_at: int  # ticks
+    connection: Any
+
 
 class KeyedOrder:
     """Holds the requests of each order key, and until when earlier attempts may still run."""
@@ -23,10 +41,31 @@
         self._enqueue = enqueue
         self.requests_by_key: dict[int, deque[Request]] = {}  # in order of acceptance
         self.held_until: dict[int, int] = {}  # ticks, by order key; no request is sent until then
+        self._latest_by_key: dict[int, Acceptance] = {}  # in order of acceptance
+
+    def may_precede_accepted(self, request: Request) -> bool:
+        """Return whether the request may have arrived before one of its key that is accepted.
+
+        That one may have been sent already, so the order could not be kept.
+        """
+        latest = self._latest_by_key.get(request.order_key)
+        if latest is None or latest.connection in (None, request.connection):
+            return False
+        return request.arrived_since + MIN_ARRIVAL_GAP_TICKS <= latest.accepted_at
 
     def append(self, request: Request) -> None:
         """Append a request to the queue of its order key."""
         self.requests_by_key.setdefault(request.order_key, deque()).append(request)
+        self._latest_by_key.pop(request.order_key, None)
+        self._latest_by_key[request.order_key] = Acceptance(request.accepted_at, request.connection)
+        self._forget_old_acceptances()
+
+    def _forget_old_acceptances(self) -> None:
+        while True:
+            order_key, latest = next(iter(self._latest_by_key.items()))
+            if self._host.now < latest.accepted_at + KEPT_ACCEPTANCE_TICKS:
+                return
+            del self._latest_by_key[order_key]
 
     def unsent_requests(self, order_key: int) -> list[Request]:
         """The requests of the key that still wait for their first attempt."""
--- /dev/null
+++ b/tests/test_arrival_order.py
@@ -0,0 +1,110 @@
+"""Order of the requests of one key when they are not read in the order in which they arrived."""
+
+import pytest
+
+from corkgauge.eventloop.loop import SECOND
+from corkgauge.net.client_protocol import REFUSED
+from tests.harness import HostHarness, request_frame, request_id
+
+KEY_SPACING_TICKS = 610  # between two requests of a key, as clients keep it
+STANDSTILL_TICKS = 3_000
+MAX_TURN_COUNT = 20
+BUSY_TURN_TICKS = 180  # of the event loop, below what makes it reject all new requests
+
+
+def load_frame(number, body_bytes=0):
+    """Return a request of an ordered class with a key."""
+    body = b"select * from s_3.t" + b" " * body_bytes
+    return request_frame(
+        1, body, route="load", entity="00ff", nonce=f"n{number}", trace=request_id(number)
+    )
+
+
+class SlowPoller:
+    """A poll object during whose next poll the process stands still."""
+
+    def __init__(self, harness, standstill_ticks):
+        self._harness, self._poller = harness, harness.event_loop._poller
+        self._standstill_ticks = standstill_ticks
+        harness.event_loop._poller = self
+
+    def poll(self, timeout):
+        self._harness.time += self._standstill_ticks
+        self._standstill_ticks = 0
+        return self._poller.poll(timeout)
+
+    def __getattr__(self, name):
+        return getattr(self._poller, name)
+
+
+@pytest.fixture
+def harness():
+    return HostHarness()
+
+
+def was_refused(harness, client):
+    """Return whether the client got a rejection."""
+    return [answer[2] for answer in harness.receive_answers(client)] == [bytes([REFUSED])]
+
+
+def test_standstill_within_a_poll_counts_for_the_input_read_after_it(harness):
+    SlowPoller(harness, STANDSTILL_TICKS)
+    harness.event_loop.turn(0)
+    assert harness.event_loop.max_unread_ticks >= STANDSTILL_TICKS
+    harness.event_loop.turn(0)
+    assert harness.event_loop.max_unread_ticks == 0
+
+
+def test_after_a_standstill_the_older_request_of_a_key_does_not_run_behind_the_newer_one(harness):
+    # Guards against the wrong order of one key, whose requests were read in the order of poll.
+    read_first, read_last = harness.connect_client(), harness.connect_client()
+    engine = harness.connect_engine()
+    harness.pass_time(SECOND)
+    read_last.sendall(load_frame(1))
+    read_first.sendall(load_frame(2))
+    SlowPoller(harness, STANDSTILL_TICKS)
+    harness.turn()
+    commands = harness.receive(engine)
+    assert request_id(2).encode() in commands and request_id(1).encode() not in commands
+    assert was_refused(harness, read_last)
+
+
+def test_request_read_in_parts_does_not_run_behind_a_newer_one_that_overtook_it(harness):
+    # Guards against the wrong order of one key without a standstill, on a busy machine.
+    long_client, short_client = harness.connect_client(), harness.connect_client()
+    engine = harness.connect_engine()
+    harness.pass_time(SECOND)
+    long_client.sendall(load_frame(1, body_bytes=150_000))
+    for turn_number in range(MAX_TURN_COUNT):
+        if turn_number == KEY_SPACING_TICKS // BUSY_TURN_TICKS:
+            short_client.sendall(load_frame(2))
+        harness.time += BUSY_TURN_TICKS
+        harness.event_loop.turn(0)
+    commands = harness.receive(engine)
+    assert request_id(2).encode() in commands and request_id(1).encode() not in commands
+    assert was_refused(harness, long_client)
+
+
+def test_request_whose_last_byte_came_after_a_newer_one_is_kept_behind_it(harness):
+    long_client, short_client = harness.connect_client(), harness.connect_client()
+    engine = harness.connect_engine()
+    frame = load_frame(1, body_bytes=20_000)
+    harness.send(long_client, frame[:10_000])
+    harness.pass_time(KEY_SPACING_TICKS)
+    harness.send(short_client, load_frame(2))
+    harness.pass_time(KEY_SPACING_TICKS)
+    harness.send(long_client, frame[10_000:])
+    assert request_id(2).encode() in harness.receive(engine)
+    harness.send_engine_command(engine, request_id(2), "DONE", "chunks=1", "a\t\t\n")
+    assert request_id(1).encode() in harness.receive(engine)
+
+
+def test_requests_of_one_connection_are_in_order_after_a_standstill(harness):
+    client, engine = harness.connect_client(), harness.connect_engine()
+    harness.pass_time(SECOND)
+    client.sendall(load_frame(1) + load_frame(2).replace(b"\2\1\0\0\0", b"\2\2\0\0\0", 1))
+    SlowPoller(harness, STANDSTILL_TICKS)
+    harness.turn()
+    assert request_id(1).encode() in harness.receive(engine)
+    harness.send_engine_command(engine, request_id(1), "DONE", "chunks=1", "a\t\t\n")
+    assert request_id(2).encode() in harness.receive(engine)
