The time that a request waited unread counts, by the kernel's time of its last byte

Subtracted is now the longest time that the frame may have waited, since the last poll that showed no input or, for a new connection, since the last accept that found none. Where more than 20 ms are in doubt, the kernel is asked when the last byte came (TCP_INFO), also for the order of a key, so that requests that are read in the right order after a standstill are no longer rejected.

The new tests are on simulated time, but for the one of the kernel's time.

--- a/corkgauge/eventloop/connection.py
+++ b/corkgauge/eventloop/connection.py
@@ -10,6 +10,7 @@
 import socket
 from typing import Any, Protocol
 
+from corkgauge.eventloop.arrival import ArrivalTime, last_arrival
 from corkgauge.eventloop.loop import BROKEN, GONE, READ, WRITE, EventLoop
 from corkgauge.eventloop.ring_buffer import RingBuffer
 
@@ -19,6 +20,7 @@
 # expired meanwhile still gets that answer within the half second that the platform allows.
 MAX_MEMORY_WAIT_TICKS = 5_000
 LINGER_TICKS = 10_000  # time that a rejected peer has for reading the reason
+MAX_IMPRECISION_TICKS = 200  # of an arrival time for which the kernel is not asked
 # Time for which input that the peer sent before it noticed the close is still read and discarded.
 IN_TRANSIT_TICKS = 500
 MAX_READS_PER_CHECK = 8  # bounds a check of whether a peer that writes without pause is connected
@@ -87,10 +89,12 @@
         self.peer_is_client = peer_is_client
         self.frame_timeout_since = event_loop.now
         self.paused_since = NEVER  # tick since which no input is read for lack of memory
-        # Earliest tick at which the input that is read now may have arrived.
+        # Earliest tick at which the input that is read now may have arrived. The owner of a socket
+        # that was connected earlier sets an earlier one.
         self.unread_since = event_loop.now
-        self._is_input_drained = True  # the last read found no more input
-        self._last_read_turn = 0  # turn of the event loop
+        self._is_input_drained = False  # the last read found no more input
+        # Turn of the event loop. A new connection is polled for the first time in the next turn.
+        self._last_read_turn = event_loop.turn_number + 1
 
         # Byte counts of the connection, and the times of its last read and write.
         self.bytes_queued = 0
@@ -269,6 +273,17 @@
             if self.close_reason or self._is_input_drained:
                 return
 
+    def arrival_time(self) -> ArrivalTime:
+        """Return when the frame that has been read last may have arrived whole."""
+        now = self.event_loop.now
+        # The kernel knows when the last byte arrived. It may be that of a later frame.
+        is_last_byte = self._is_input_drained and not len(self.machine.inward)
+        if is_last_byte and now - self.unread_since > MAX_IMPRECISION_TICKS:
+            arrival = last_arrival(self.sock, now)
+            if arrival is not None:
+                return ArrivalTime(max(arrival.earliest, self.unread_since), arrival.latest)
+        return ArrivalTime(self.unread_since, now)
+
     def _update_unread_since(self) -> None:
         """Note since when the input that is read now may have waited.
 
--- a/corkgauge/net/acceptor.py
+++ b/corkgauge/net/acceptor.py
@@ -13,6 +13,7 @@
 
 BACKLOG = 4096
 MAX_ACCEPTS_IN_A_ROW = 64  # before other tasks run
+NO_CONNECTION = (errno.EAGAIN, errno.EWOULDBLOCK)
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 BARRED_PAUSE_TICKS = 100  # until `is_barred` is called again
 FULL_PAUSE_TICKS = 50  # after no connection could be closed, or no descriptor was free
@@ -43,6 +44,9 @@
             self.sock.close()
             raise
         self.sock.setblocking(False)
+        # Earliest tick at which a connection that is accepted now may have been established.
+        self._waiting_since = event_loop.now
+        self._is_drained = False  # no connection was left when the last one was accepted
 
     def run(self) -> None:
         """Accept clients until the acceptor is shut; runs as a task."""
@@ -50,6 +54,8 @@
             self.event_loop.sleep(BARRED_PAUSE_TICKS)
         while self.is_open:
             self.event_loop.wait(self.sock.fileno(), READ)
+            if self._is_drained:
+                self._waiting_since = self.event_loop.now - self.event_loop.max_unread_ticks
             for _ in range(MAX_ACCEPTS_IN_A_ROW):
                 self._wait_for_room()
                 if not (self.is_open and self._accept_one()):
@@ -71,12 +77,14 @@
         try:
             sock, _ = self.sock.accept()
         except OSError as problem:
+            self._is_drained = problem.errno in NO_CONNECTION
             if problem.errno in OUT_OF_RESOURCES:
                 self.socket_host.make_room()
                 self.event_loop.sleep(FULL_PAUSE_TICKS)
             return False
+        self._is_drained = False
         try:
-            self.socket_host.add_client(sock)
+            self.socket_host.add_client(sock, self._waiting_since)
         except Exception:  # One faulty connection must not end the task that accepts all others.
             self.event_loop.on_exception()
             sock.close()
@@ -99,7 +107,7 @@
             except OSError:
                 break
             found += 1
-            self.socket_host.add_client(sock)
+            self.socket_host.add_client(sock, self._waiting_since)
         descriptor = self.sock.fileno()
         self.sock.close()
         self.event_loop.wake(descriptor)
--- a/corkgauge/net/client_connection.py
+++ b/corkgauge/net/client_connection.py
@@ -6,12 +6,10 @@
 are answered.
 """
 
-import sys
-from fcntl import ioctl
-from termios import FIONREAD
 from typing import Any
 
 from corkgauge.accounting.counter_names import EndReason, Side
+from corkgauge.eventloop.arrival import unread_byte_count
 from corkgauge.eventloop.connection import NEVER, StreamConnection
 from corkgauge.net import client_protocol as client_wire
 from corkgauge.net.answer_queue import Answer, AnswerQueue
@@ -290,8 +288,3 @@
             self.socket_host.flow_export.on_connection_closed(self.link)
         self.answers.close()
         self.on_client_gone()
-
-
-def unread_byte_count(sock: Any) -> int:
-    """Return the number of bytes in the socket's receive buffer."""
-    return int.from_bytes(ioctl(sock.fileno(), FIONREAD, b"\0" * 4), sys.byteorder)
--- a/corkgauge/net/platform_frontend.py
+++ b/corkgauge/net/platform_frontend.py
@@ -10,6 +10,7 @@
 
 from corkgauge.accounting.counter_names import Side
 from corkgauge.config.platform import PlatformConfig
+from corkgauge.eventloop.arrival import ArrivalTime, unread_byte_count
 from corkgauge.eventloop.connection import IN_TRANSIT_TICKS, NEVER
 from corkgauge.eventloop.loop import SECOND, EventLoop
 from corkgauge.net import client_protocol as client_wire
@@ -18,7 +19,6 @@
     MAX_OPEN_REQUEST_COUNT,
     ClientConnection,
     ClientRequest,
-    unread_byte_count,
 )
 from corkgauge.net.client_protocol import REFUSED
 from corkgauge.net.host import SocketHost
@@ -126,9 +126,14 @@
         )
         return f"{reserved} paused_inputs={paused_count} waiting_answers={answer_count}"
 
-    def add_client(self, sock: Any) -> None:
-        """Serve a client that was accepted on this socket."""
+    def add_client(self, sock: Any, connected_since: int | None = None) -> None:
+        """Serve a client that was accepted on this socket.
+
+        `connected_since` is the earliest tick at which it may have connected; None: now.
+        """
         client_connection = ClientConnection(self, sock)
+        if connected_since is not None:
+            client_connection.link.unread_since = connected_since
         self.client_connections[client_connection] = None
         self.ledger.record_connection_opened(Side.CLIENT)
         if self.flow_export is not None:
@@ -224,17 +229,19 @@
         )
         if not self._has_room_for(client_connection, client_request):
             return self._reject_for_lack_of_room(client_connection, client_request)
+        arrival = client_connection.link.arrival_time()
         request = Request(
             client_request,
             request_fields.request_class,
             request_fields.tenant,
             group_number(body),
             self.now,
-            self._time_left(request_fields, stream),
+            self._time_left(request_fields, stream, arrival),
             int(request_fields.work_ms * TICKS_PER_MS),
             float(request_fields.memory_mb),
             request_fields.order_key,
-            arrived_since=client_connection.link.unread_since,
+            earliest_arrival=arrival.earliest,
+            latest_arrival=arrival.latest,
             connection=client_connection,
         )
         self._register_request(client_connection, request)
@@ -262,13 +269,13 @@
         client_connection.send_answer(client_request.stream, REFUSED, [])
         return "" if client_connection.fault_count <= MAX_FAULT_COUNT else "too many open at once"
 
-    def _time_left(self, request_fields: RequestFields, stream: int) -> int:
+    def _time_left(self, request_fields: RequestFields, stream: int, arrival: ArrivalTime) -> int:
         """Return the ticks until the request expires by the client's clock, at least 1.
 
         Ends at the shutdown deadline at the latest. The time to the deadline that the client sent
-        counts from the client's stamp, so the estimated delay at the client and the lag of the
-        event loop are subtracted: under full processor load the frame has waited unread for as long
-        as the lag. Stream 1 counts as the first request of a connection.
+        counts from the client's stamp, so the estimated delay at the client and the longest time
+        that the frame may have waited unread are subtracted: on a busy machine, or while this
+        process stood still. Stream 1 counts as the first request of a connection.
         """
         time_left = min(
             int(request_fields.time_to_deadline_ms * TICKS_PER_MS),
@@ -277,7 +284,7 @@
         return max(
             time_left
             - self.estimate_client_delay(request_fields.order_key, stream == 1)
-            - self.lag,
+            - (self.now - arrival.earliest),
             1,
         )
 
--- a/corkgauge/policy/ordering.py
+++ b/corkgauge/policy/ordering.py
@@ -26,9 +26,10 @@
 
 
 class Acceptance(NamedTuple):
-    """When the latest request of an order key was accepted, and on which connection."""
+    """The latest accepted request of an order key: times in ticks, and its connection."""
 
-    accepted_at: int  # ticks
+    accepted_at: int
+    latest_arrival: int
     connection: Any
 
 
@@ -51,13 +52,15 @@
         latest = self._latest_by_key.get(request.order_key)
         if latest is None or latest.connection in (None, request.connection):
             return False
-        return request.arrived_since + MIN_ARRIVAL_GAP_TICKS <= latest.accepted_at
+        return request.earliest_arrival + MIN_ARRIVAL_GAP_TICKS <= latest.latest_arrival
 
     def append(self, request: Request) -> None:
         """Append a request to the queue of its order key."""
         self.requests_by_key.setdefault(request.order_key, deque()).append(request)
         self._latest_by_key.pop(request.order_key, None)
-        self._latest_by_key[request.order_key] = Acceptance(request.accepted_at, request.connection)
+        self._latest_by_key[request.order_key] = Acceptance(
+            request.accepted_at, request.latest_arrival, request.connection
+        )
         self._forget_old_acceptances()
 
     def _forget_old_acceptances(self) -> None:
--- a/tests/test_arrival_order.py
+++ b/tests/test_arrival_order.py
@@ -1,7 +1,12 @@
 """Order of the requests of one key when they are not read in the order in which they arrived."""
 
+import socket
+import time
+
 import pytest
 
+from corkgauge.eventloop import connection
+from corkgauge.eventloop.arrival import ArrivalTime, last_arrival
 from corkgauge.eventloop.loop import SECOND
 from corkgauge.net.client_protocol import REFUSED
 from tests.harness import HostHarness, request_frame, request_id
@@ -108,3 +113,71 @@
     assert request_id(1).encode() in harness.receive(engine)
     harness.send_engine_command(engine, request_id(1), "DONE", "chunks=1", "a\t\t\n")
     assert request_id(2).encode() in harness.receive(engine)
+
+
+def use_kernel_times(monkeypatch, harness, ages):
+    """Let the kernel report these ages of the last byte, by the client's end of the connection."""
+    ages_by_host_socket = dict(
+        zip([each.link.sock for each in harness.socket_host.client_connections], ages, strict=True)
+    )
+
+    def last_arrival_at(sock, now):
+        arrived_at = now - ages_by_host_socket[sock]
+        return ArrivalTime(arrived_at, arrived_at)
+
+    monkeypatch.setattr(connection, "last_arrival", last_arrival_at)
+
+
+def test_by_the_kernels_times_both_requests_run_that_are_read_in_the_right_order(
+    monkeypatch, harness
+):
+    first_client, second_client = harness.connect_client(), harness.connect_client()
+    engine = harness.connect_engine()
+    harness.pass_time(SECOND)
+    use_kernel_times(monkeypatch, harness, (2_000, 1_000))
+    first_client.sendall(load_frame(1))
+    second_client.sendall(load_frame(2))
+    SlowPoller(harness, STANDSTILL_TICKS)
+    harness.turn()
+    assert request_id(1).encode() in harness.receive(engine)
+    harness.send_engine_command(engine, request_id(1), "DONE", "chunks=1", "a\t\t\n")
+    assert request_id(2).encode() in harness.receive(engine)
+
+
+def test_time_of_the_last_byte_says_nothing_about_an_earlier_frame(monkeypatch, harness):
+    # Guards against the wrong order of one key: the frame counted as newer than it may be.
+    other_client, client = harness.connect_client(), harness.connect_client()
+    engine = harness.connect_engine()
+    harness.pass_time(SECOND)
+    use_kernel_times(monkeypatch, harness, (1_500, 0))
+    other_client.sendall(load_frame(2))
+    client.sendall(load_frame(1) + request_frame(2, trace=request_id(3)))
+    SlowPoller(harness, STANDSTILL_TICKS)
+    harness.turn()
+    assert request_id(1).encode() not in harness.receive(engine)
+    assert was_refused(harness, client)
+
+
+def test_time_that_a_request_waited_during_a_standstill_reduces_its_time_to_deadline(harness):
+    # Guards against a final answer that is late by the length of the standstill.
+    client = harness.connect_client()
+    harness.pass_time(SECOND)
+    client.sendall(request_frame(patience="3000"))
+    SlowPoller(harness, STANDSTILL_TICKS)
+    harness.turn()
+    (request,) = harness.socket_host.open_requests.values()
+    assert request.time_to_deadline == 3 * SECOND - STANDSTILL_TICKS
+
+
+def test_kernel_tells_when_the_last_byte_of_a_tcp_connection_arrived():
+    listener = socket.create_server(("127.0.0.1", 0))
+    client = socket.create_connection(listener.getsockname())
+    server, _ = listener.accept()
+    client.sendall(b"x")
+    time.sleep(0.2)
+    assert last_arrival(server, SECOND) is None  # unread input
+    server.recv(1)
+    arrival = last_arrival(server, SECOND)
+    assert arrival.earliest < arrival.latest < SECOND - SECOND // 10
+    unix_socket, _ = socket.socketpair()
+    assert last_arrival(unix_socket, SECOND) is None
