A lease removed by a reload leaves the loans too, and stays while it is lent

A command asks for a lease and a reload removes that lease from the operator file: one lease time later the load check of the gateway ended with KeyError and never ran again, so loans to commands no longer expired and overload went unnoticed. The removed candidate kept probing, and a lease that was lent was released under the running command.

A removed lease is forgotten by the loans, its candidate is retired, and a lent lease stays until its command has ended. Both tests fail on the code before.

--- a/corkgauge/leases/candidate.py
+++ b/corkgauge/leases/candidate.py
@@ -130,6 +130,12 @@
             self.host.on_lease_released(self)
         self._schedule_probe(max(pause_ticks, self.timing.lease_ticks))
 
+    def retire(self, reason: str) -> None:
+        """Release the lease, and begin no further round."""
+        self.set_wanted(False)
+        self.release(reason)
+        self.timer += 1  # the timer that is set counts as replaced
+
     def on_preempted(self, fencing_token: int) -> None:
         """Release the lease after a fencing guard has seen a higher fencing token.
 
--- a/corkgauge/leases/command_loans.py
+++ b/corkgauge/leases/command_loans.py
@@ -92,6 +92,11 @@
         self.loans.pop(lease, None)
         self.release_reasons.pop(lease, None)
 
+    def forget_lease(self, lease: str) -> None:
+        """Drop all that is known of a lease that this instance no longer competes for."""
+        self.forget(lease)
+        self.last_requested_at.pop(lease, None)
+
     def expire(self, now: int) -> None:
         """End expired loans, and give up leases that no command requests any more."""
         for lease, loan in [*self.loans.items()]:
--- a/corkgauge/leases/reconfiguration.py
+++ b/corkgauge/leases/reconfiguration.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from corkgauge.leases.service import LeaseService
 
+REMOVED = "removed from the operator file"  # reason of a release, in the log
+
 
 def read_lease_settings(settings: LeaseConfig) -> tuple[VoterConfiguration, LeaseTiming]:
     """Return the voter configuration and the lease timing of an operator file.
@@ -51,7 +53,7 @@
     service.voter.reconfigure(configuration, timing)
     for name in service.owners:
         service.candidates[name].reconfigure(configuration, timing)
-    _remove_unconfigured_leases(service)
+    remove_unconfigured_leases(service)
     _apply_configured_leases(service)
 
 
@@ -64,17 +66,22 @@
         raise ConfigurationError(f"duties: {error}") from None
 
 
-def _remove_unconfigured_leases(service: "LeaseService") -> None:
+def remove_unconfigured_leases(service: "LeaseService") -> None:
     """Release the leases that were removed from the operator file.
 
-    Leases of other subsystems are never named in the operator file, and stay.
+    A lease that is lent to a command stays until that command has ended. Leases of other subsystems
+    are never named in the operator file, and stay.
     """
     named = {name for name, *_ in service.settings.leases}
     for name in [*service.candidates]:
-        if name not in named and name not in service.owners:
-            service.candidates[name].release("removed from the operator file")
-            service.candidates.pop(name).set_wanted(False)
-            service.collectors.pop(name, None)
+        if name in named or name in service.owners:
+            continue
+        if service.command_loans.is_lent(name):
+            service.command_loans.release_when_returned(name, REMOVED)
+            continue
+        service.candidates.pop(name).retire(REMOVED)
+        service.collectors.pop(name, None)
+        service.command_loans.forget_lease(name)
 
 
 def _apply_configured_leases(service: "LeaseService") -> None:
--- a/corkgauge/leases/service.py
+++ b/corkgauge/leases/service.py
@@ -166,6 +166,8 @@
     def release(self, lease: str, reason: str) -> None:
         """Release a lease now, and pause so that other instances can acquire the lease first."""
         self.candidates[lease].release(reason, RELEASE_PAUSE_LEASES * self.timing.lease_ticks)
+        # A lease that a reload could not remove while it was lent.
+        self.event_loop.call_later(0, reconfiguration.remove_unconfigured_leases, self)
 
     # Process lifecycle.
 
--- a/tests/test_lease_service.py
+++ b/tests/test_lease_service.py
@@ -1,5 +1,6 @@
 """Three lease services on a simulated clock, with late event loops and slow disks."""
 
+from dataclasses import replace
 from heapq import heappop, heappush
 from types import SimpleNamespace
 
@@ -170,6 +171,57 @@
     assert all(each.lease_service.is_overloaded for each in fleet.instances.values())
 
 
+COMMAND_LEASE = "report"
+
+
+def reload_leases(lease_service, *names):
+    """Apply an operator file that names these leases for commands."""
+    leases = tuple((name, "run", SECOND) for name in names)
+    lease_service.reload(replace(lease_service.settings, leases=leases))
+
+
+def request_until_held(fleet, lease_service):
+    """Request the lease as a command does, until it is held; return the last reply."""
+    for _ in range(20):
+        candidate = lease_service.candidates[COMMAND_LEASE]
+        reply = lease_service.command_loans.lend(candidate, "ada")
+        if reply["held"]:
+            break
+        fleet.run_until(fleet.now + LEASE_TICKS // 4)
+    return reply
+
+
+def test_lease_removed_by_a_reload_after_a_command_asked_for_it_stops_no_load_check(monkeypatch):
+    # Guards against a load check that ended by KeyError: loans never expired again.
+    fleet = SimulatedFleet(monkeypatch)
+    lease_service = fleet.instances["n1"].lease_service
+    reload_leases(lease_service, COMMAND_LEASE)
+    lease_service.command_loans.lend(lease_service.candidates[COMMAND_LEASE], "ada")
+    reload_leases(lease_service)
+    fleet.run_until(fleet.now + 3 * LEASE_TICKS)
+    fleet.overload(["n1"])
+    assert lease_service.is_overloaded
+    assert COMMAND_LEASE not in lease_service.candidates
+
+
+def test_lease_removed_by_a_reload_while_it_is_lent_stays_until_the_command_ends(monkeypatch):
+    # Guards against two commands under one lease, at gateways with different operator files.
+    fleet = SimulatedFleet(monkeypatch)
+    lease_service = fleet.instances["n1"].lease_service
+    reload_leases(lease_service, COMMAND_LEASE)
+    assert request_until_held(fleet, lease_service)["held"]
+    candidate = lease_service.candidates[COMMAND_LEASE]
+    reload_leases(lease_service)
+    assert candidate.may_act() and lease_service.candidates[COMMAND_LEASE] is candidate
+    assert not lease_service.command_loans.lend(candidate, "ada")["held"]
+    lease_service.command_loans.finish(candidate, "ada")
+    fleet.run_until(fleet.now + 1)
+    assert COMMAND_LEASE not in lease_service.candidates and not candidate.may_act()
+    timer = candidate.timer
+    fleet.run_until(fleet.now + 5 * LEASE_TICKS)
+    assert candidate.timer == timer  # no round has begun
+
+
 @pytest.mark.parametrize("overloaded_count", [1, 2])
 def test_lease_moves_to_instance_that_is_not_overloaded(monkeypatch, overloaded_count):
     fleet = SimulatedFleet(monkeypatch)
