A clock that is set back does not count as a standstill within a poll

The length of a poll was measured from the clock to the loop's time, which never decreases, so a clock set back by an hour counted as a standstill of an hour, and each request as expired. The clock of the process is monotonic; a test's was not: test_clock_set_back_by_an_hour_keeps_times_in_order failed, and passes with both ends read from the clock.

--- a/corkgauge/eventloop/loop.py
+++ b/corkgauge/eventloop/loop.py
@@ -224,8 +224,9 @@
         self.worst_turn = max(self.worst_turn, self._last_turn_ticks) if self.worst_turn >= 0 else 0
         poll_began_at = self.clock()
         found = self._poller.poll(timeout_ms)
-        self.update_now()
-        poll_ticks = self.now - poll_began_at
+        poll_ended_at = self.clock()
+        self.now = max(self.now, poll_ended_at)
+        poll_ticks = poll_ended_at - poll_began_at
         is_late = poll_ticks > timeout_ms * TICKS_PER_MILLISECOND + MAX_POLL_OVERRUN_TICKS
         self._standstill_ticks = poll_ticks if is_late else 0
         self._turn_began_at = self.now
