--- a/corkgauge/eventloop/connection.py
+++ b/corkgauge/eventloop/connection.py
@@ -10,7 +10,7 @@
 import socket
 from typing import Any, Protocol
 
-from corkgauge.eventloop.arrival import ArrivalTime, last_arrival
+from corkgauge.eventloop.arrival import ArrivalTime, UnreadInput
 from corkgauge.eventloop.loop import BROKEN, GONE, READ, WRITE, EventLoop
 from corkgauge.eventloop.ring_buffer import RingBuffer
 
@@ -20,7 +20,6 @@
 # expired meanwhile still gets that answer within the half second that the platform allows.
 MAX_MEMORY_WAIT_TICKS = 5_000
 LINGER_TICKS = 10_000  # time that a rejected peer has for reading the reason
-MAX_IMPRECISION_TICKS = 200  # of an arrival time for which the kernel is not asked
 # Time for which input that the peer sent before it noticed the close is still read and discarded.
 IN_TRANSIT_TICKS = 500
 MAX_READS_PER_CHECK = 8  # bounds a check of whether a peer that writes without pause is connected
@@ -89,12 +88,7 @@
         self.peer_is_client = peer_is_client
         self.frame_timeout_since = event_loop.now
         self.paused_since = NEVER  # tick since which no input is read for lack of memory
-        # Earliest tick at which the input that is read now may have arrived. The owner of a socket
-        # that was connected earlier sets an earlier one.
-        self.unread_since = event_loop.now
-        self._is_input_drained = False  # the last read found no more input
-        # Turn of the event loop. A new connection is polled for the first time in the next turn.
-        self._last_read_turn = event_loop.turn_number + 1
+        self.unread_input = UnreadInput(event_loop, sock)
 
         # Byte counts of the connection, and the times of its last read and write.
         self.bytes_queued = 0
@@ -201,7 +195,7 @@
         # While this program did not read, the time limit for the frame did not run.
         self.frame_timeout_since += now - self.paused_since
         self.paused_since = NEVER
-        self._last_read_turn = self.event_loop.turn_number
+        self.unread_input.on_resumed()
 
     def is_peer_connected(self) -> bool:
         """Return whether the peer is still connected, by the state of the socket now.
@@ -246,7 +240,7 @@
     def _read(self, is_broken: bool) -> None:
         """Read the available input, in a few reads at most, and pass it to the machine."""
         ring = self.machine.inward
-        self._update_unread_since()
+        self.unread_input.before_read()
         for _ in range(MAX_CONSECUTIVE_READS):
             free_space = ring.writable_view()[:MAX_READ_BYTES]
             if not len(free_space):
@@ -256,7 +250,7 @@
             try:
                 size = self.sock.recv_into(free_space)
             except OSError as problem:
-                self._is_input_drained = True
+                self.unread_input.is_drained = True
                 if problem.errno not in RETRYABLE_ERRNOS:
                     self.close_reason = problem.strerror or "error"
                 return
@@ -264,37 +258,18 @@
                 self.close_reason = "closed"
                 return
             self.last_read_at = self.event_loop.now
-            self._is_input_drained = size < len(free_space)
+            self.unread_input.is_drained = size < len(free_space)
             self.bytes_received += size
             if not self._is_mid_frame():
                 self.frame_timeout_since = self.event_loop.now
             ring.mark_written(size)
             self._parse_input()
-            if self.close_reason or self._is_input_drained:
+            if self.close_reason or self.unread_input.is_drained:
                 return
 
     def arrival_time(self) -> ArrivalTime:
         """Return when the frame that has been read last may have arrived whole."""
-        now = self.event_loop.now
-        # The kernel knows when the last byte arrived. It may be that of a later frame.
-        is_last_byte = self._is_input_drained and not len(self.machine.inward)
-        if is_last_byte and now - self.unread_since > MAX_IMPRECISION_TICKS:
-            arrival = last_arrival(self.sock, now)
-            if arrival is not None:
-                return ArrivalTime(max(arrival.earliest, self.unread_since), arrival.latest)
-        return ArrivalTime(self.unread_since, now)
-
-    def _update_unread_since(self) -> None:
-        """Note since when the input that is read now may have waited.
-
-        Input that the last read left behind may be as old as what was read then. The next poll
-        reports it, so if this is not the next turn, nothing was left behind.
-        """
-        event_loop = self.event_loop
-        is_next_turn = event_loop.turn_number <= self._last_read_turn + 1
-        if self._is_input_drained or not is_next_turn:
-            self.unread_since = event_loop.now - event_loop.max_unread_ticks
-        self._last_read_turn = event_loop.turn_number
+        return self.unread_input.arrival_time(is_end_of_input=not len(self.machine.inward))
 
     def send(self, *buffers: bytes) -> bool:
         """Queue all buffers for writing.
@@ -427,31 +402,3 @@
                     return
                 mask = READ | WRITE if len(ring) else READ
                 self.event_loop.wait(self.fd, mask, deadline)
-
-
-def dial(
-    event_loop: EventLoop, address: tuple[str, int], timeout_ticks: int
-) -> tuple[socket.socket | None, str]:
-    """Connect to an address within `timeout_ticks`; must be called from a task.
-
-    Returns the socket and an empty string, or None and the name of the error, such as
-    `ECONNREFUSED`.
-    """
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = None
-    try:  # covers the creation of the socket, which fails if no file descriptor is free
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        code = sock.connect_ex(address)
-        if code == errno.EINPROGRESS:
-            if not event_loop.wait(sock.fileno(), WRITE, event_loop.now + timeout_ticks):
-                code = errno.ETIMEDOUT
-            else:
-                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    except OSError as problem:
-        code = problem.errno or errno.EIO
-    if not code:
-        return sock, ""
-    if sock is not None:
-        sock.close()
-    return None, errno.errorcode.get(code, str(code))
--- a/corkgauge/flow_export/transports.py
+++ b/corkgauge/flow_export/transports.py
@@ -12,7 +12,8 @@
 from fcntl import ioctl
 from typing import Protocol
 
-from corkgauge.eventloop.connection import StreamConnection, dial
+from corkgauge.eventloop.connection import StreamConnection
+from corkgauge.eventloop.dial import dial
 from corkgauge.eventloop.loop import READ, EventLoop
 from corkgauge.eventloop.memory_budget import MemoryBudget
 from corkgauge.eventloop.ring_buffer import RingBuffer
--- a/corkgauge/net/discovery.py
+++ b/corkgauge/net/discovery.py
@@ -6,7 +6,8 @@
 
 from typing import Any
 
-from corkgauge.eventloop.connection import StreamConnection, dial
+from corkgauge.eventloop.connection import StreamConnection
+from corkgauge.eventloop.dial import dial
 from corkgauge.eventloop.loop import SECOND
 from corkgauge.net import discovery_protocol
 
--- a/corkgauge/net/engine_pool.py
+++ b/corkgauge/net/engine_pool.py
@@ -6,7 +6,7 @@
 
 from typing import Any
 
-from corkgauge.eventloop.connection import dial
+from corkgauge.eventloop.dial import dial
 from corkgauge.eventloop.loop import BROKEN, GONE, SECOND
 from corkgauge.net.client_connection import ClientRequest
 from corkgauge.net.engine_connection import EngineConnection
--- a/corkgauge/net/platform_frontend.py
+++ b/corkgauge/net/platform_frontend.py
@@ -133,7 +133,7 @@
         """
         client_connection = ClientConnection(self, sock)
         if connected_since is not None:
-            client_connection.link.unread_since = connected_since
+            client_connection.link.unread_input.since = connected_since
         self.client_connections[client_connection] = None
         self.ledger.record_connection_opened(Side.CLIENT)
         if self.flow_export is not None:
--- a/corkgauge/testkit/emulators/clients.py
+++ b/corkgauge/testkit/emulators/clients.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from corkgauge.eventloop.connection import dial
+from corkgauge.eventloop.dial import dial
 from corkgauge.eventloop.loop import SECOND, EventLoop
 from corkgauge.net.client_protocol import FAILED, REFUSED, SERVED
 from corkgauge.testkit.emulators.listener import make_connection
--- a/corkgauge/testkit/faults/relay.py
+++ b/corkgauge/testkit/faults/relay.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import Any
 
-from corkgauge.eventloop.connection import dial
+from corkgauge.eventloop.dial import dial
 from corkgauge.eventloop.loop import READ, WRITE, EventLoop
 from corkgauge.testkit.seeded_random import SeededRandom
 
--- a/tests/test_arrival_order.py
+++ b/tests/test_arrival_order.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from corkgauge.eventloop import connection
+from corkgauge.eventloop import arrival
 from corkgauge.eventloop.arrival import ArrivalTime, last_arrival
 from corkgauge.eventloop.loop import SECOND
 from corkgauge.net.client_protocol import REFUSED
@@ -125,7 +125,7 @@
         arrived_at = now - ages_by_host_socket[sock]
         return ArrivalTime(arrived_at, arrived_at)
 
-    monkeypatch.setattr(connection, "last_arrival", last_arrival_at)
+    monkeypatch.setattr(arrival, "last_arrival", last_arrival_at)
 
 
 def test_by_the_kernels_times_both_requests_run_that_are_read_in_the_right_order(
@@ -177,7 +177,7 @@
     time.sleep(0.2)
     assert last_arrival(server, SECOND) is None  # unread input
     server.recv(1)
-    arrival = last_arrival(server, SECOND)
-    assert arrival.earliest < arrival.latest < SECOND - SECOND // 10
+    last_byte = last_arrival(server, SECOND)
+    assert last_byte.earliest < last_byte.latest < SECOND - SECOND // 10
     unix_socket, _ = socket.socketpair()
     assert last_arrival(unix_socket, SECOND) is None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,7 +12,7 @@
 
 from corkgauge.config import platform as configuration
 from corkgauge.daemon.configuration_reload import ConfigurationReloader
-from corkgauge.eventloop.connection import dial
+from corkgauge.eventloop.dial import dial
 from corkgauge.eventloop.loop import EventLoop
 from corkgauge.eventloop.memory_budget import MemoryBudget
 from corkgauge.eventloop.ring_buffer import RingBuffer
