The order of a key is remembered for a minute, by the policy's own clock

Entries were forgotten after 10 s by the time of acceptance: a class may have a deadline of 20 s, and a request whose time of acceptance is old would have emptied the table and ended with StopIteration in its acceptance. They are kept for 60 s, by the host's clock, and at most two are forgotten with each that is added.

--- a/corkgauge/policy/ordering.py
+++ b/corkgauge/policy/ordering.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from itertools import islice
 from typing import Any, NamedTuple
 
 from corkgauge.policy.host import Host
@@ -21,8 +22,9 @@
 
 # Clients send two requests of one key at least 60 ms apart; the network may take 10 ms of that.
 MIN_ARRIVAL_GAP_TICKS = 500
-# No deadline is that long, so no request can have waited unread for longer.
-KEPT_ACCEPTANCE_TICKS = 10 * TICKS_PER_SECOND
+# A request that has waited unread for longer has expired.
+KEPT_ACCEPTANCE_TICKS = 60 * TICKS_PER_SECOND
+MAX_FORGOTTEN_AT_ONCE = 2  # more than the one that is added, so that the number shrinks again
 
 
 class Acceptance(NamedTuple):
@@ -59,16 +61,15 @@
         self.requests_by_key.setdefault(request.order_key, deque()).append(request)
         self._latest_by_key.pop(request.order_key, None)
         self._latest_by_key[request.order_key] = Acceptance(
-            request.accepted_at, request.latest_arrival, request.connection
+            self._host.now, request.latest_arrival, request.connection
         )
         self._forget_old_acceptances()
 
     def _forget_old_acceptances(self) -> None:
-        while True:
-            order_key, latest = next(iter(self._latest_by_key.items()))
-            if self._host.now < latest.accepted_at + KEPT_ACCEPTANCE_TICKS:
-                return
-            del self._latest_by_key[order_key]
+        oldest_kept = self._host.now - KEPT_ACCEPTANCE_TICKS
+        for order_key, latest in [*islice(self._latest_by_key.items(), MAX_FORGOTTEN_AT_ONCE)]:
+            if latest.accepted_at <= oldest_kept:
+                del self._latest_by_key[order_key]
 
     def unsent_requests(self, order_key: int) -> list[Request]:
         """The requests of the key that still wait for their first attempt."""
--- a/tests/test_arrival_order.py
+++ b/tests/test_arrival_order.py
@@ -9,6 +9,7 @@
 from corkgauge.eventloop.arrival import ArrivalTime, last_arrival
 from corkgauge.eventloop.loop import SECOND
 from corkgauge.net.client_protocol import REFUSED
+from corkgauge.policy.ordering import KEPT_ACCEPTANCE_TICKS
 from tests.harness import HostHarness, request_frame, request_id
 
 KEY_SPACING_TICKS = 610  # between two requests of a key, as clients keep it
@@ -181,3 +182,16 @@
     assert last_byte.earliest < last_byte.latest < SECOND - SECOND // 10
     unix_socket, _ = socket.socketpair()
     assert last_arrival(unix_socket, SECOND) is None
+
+
+def test_order_of_a_key_is_forgotten_once_no_request_can_have_waited_that_long(harness):
+    client = harness.connect_client()
+    for number in range(1, 4):
+        frame = request_frame(number, route="load", entity=f"{number}", nonce=f"n{number}")
+        harness.send(client, frame)
+        harness.pass_time(SECOND, SECOND // 10)
+    order = harness.socket_host.gateway.order
+    assert len(order._latest_by_key) == 3
+    harness.pass_time(KEPT_ACCEPTANCE_TICKS, SECOND)
+    harness.send(client, request_frame(4, route="load", entity="4", nonce="n4"))
+    assert [*order._latest_by_key] == [3, 4]
