The order of a key keeps the number of a connection, for as long as a deadline

It keeps the connection's number now, for the longest deadline of the classes with an order: what waited unread for longer has expired.

--- a/corkgauge/net/client_connection.py
+++ b/corkgauge/net/client_connection.py
@@ -6,6 +6,7 @@
 are answered.
 """
 
+from itertools import count
 from typing import Any
 
 from corkgauge.accounting.counter_names import EndReason, Side
@@ -33,6 +34,8 @@
 KNOWN_CLIENTS_MEMORY_DIVISOR = 4
 REQUEST_OVERHEAD_BYTES = 3_000  # memory of a request in addition to its statement
 
+connection_numbers = count(1)  # of all client connections of the process
+
 
 class ClientRequest:
     """Client-side data of a request: where the answer goes, and what is forwarded unchanged."""
@@ -79,6 +82,7 @@
 
     def __init__(self, socket_host: Any, sock: Any) -> None:
         self.socket_host = socket_host
+        self.number = next(connection_numbers)
         self.open: dict[int, Request | None] = {}  # open requests by stream number
         self.fault_count = self.cancel_count = 0
         self.unsubmitted: list[Request] = []  # requests not yet passed to the gateway
--- a/corkgauge/net/platform_frontend.py
+++ b/corkgauge/net/platform_frontend.py
@@ -242,7 +242,7 @@
             request_fields.order_key,
             earliest_arrival=arrival.earliest,
             latest_arrival=arrival.latest,
-            connection=client_connection,
+            connection_number=client_connection.number,
         )
         self._register_request(client_connection, request)
         return ""
--- a/corkgauge/policy/ordering.py
+++ b/corkgauge/policy/ordering.py
@@ -7,11 +7,10 @@
 from collections import deque
 from collections.abc import Callable
 from itertools import islice
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from corkgauge.policy.host import Host
 from corkgauge.policy.records import AttemptOutcome, Request
-from corkgauge.policy.units import TICKS_PER_SECOND
 
 # Outcomes after which an engine may still be executing the attempt for a while.
 POSSIBLY_RUNNING_OUTCOMES = (
@@ -22,8 +21,6 @@
 
 # Clients send two requests of one key at least 60 ms apart; the network may take 10 ms of that.
 MIN_ARRIVAL_GAP_TICKS = 500
-# A request that has waited unread for longer has expired.
-KEPT_ACCEPTANCE_TICKS = 60 * TICKS_PER_SECOND
 MAX_FORGOTTEN_AT_ONCE = 2  # more than the one that is added, so that the number shrinks again
 
 
@@ -32,7 +29,7 @@
 
     accepted_at: int
     latest_arrival: int
-    connection: Any
+    connection_number: int
 
 
 class KeyedOrder:
@@ -45,6 +42,8 @@
         self.requests_by_key: dict[int, deque[Request]] = {}  # in order of acceptance
         self.held_until: dict[int, int] = {}  # ticks, by order key; no request is sent until then
         self._latest_by_key: dict[int, Acceptance] = {}  # in order of acceptance
+        # Longest deadline of the classes seen: a request that waited unread for longer has expired.
+        self._kept_ticks = 0
 
     def may_precede_accepted(self, request: Request) -> bool:
         """Return whether the request may have arrived before one of its key that is accepted.
@@ -52,21 +51,22 @@
         That one may have been sent already, so the order could not be kept.
         """
         latest = self._latest_by_key.get(request.order_key)
-        if latest is None or latest.connection in (None, request.connection):
+        if latest is None or latest.connection_number in (0, request.connection_number):
             return False
         return request.earliest_arrival + MIN_ARRIVAL_GAP_TICKS <= latest.latest_arrival
 
     def append(self, request: Request) -> None:
         """Append a request to the queue of its order key."""
         self.requests_by_key.setdefault(request.order_key, deque()).append(request)
+        self._kept_ticks = max(self._kept_ticks, request.request_class.time_to_deadline)
         self._latest_by_key.pop(request.order_key, None)
         self._latest_by_key[request.order_key] = Acceptance(
-            self._host.now, request.latest_arrival, request.connection
+            self._host.now, request.latest_arrival, request.connection_number
         )
         self._forget_old_acceptances()
 
     def _forget_old_acceptances(self) -> None:
-        oldest_kept = self._host.now - KEPT_ACCEPTANCE_TICKS
+        oldest_kept = self._host.now - self._kept_ticks
         for order_key, latest in [*islice(self._latest_by_key.items(), MAX_FORGOTTEN_AT_ONCE)]:
             if latest.accepted_at <= oldest_kept:
                 del self._latest_by_key[order_key]
--- a/corkgauge/policy/records.py
+++ b/corkgauge/policy/records.py
@@ -160,11 +160,11 @@
     latency_objective: float = 0.0  # ticks, with the stretch
     queue: Any = None  # `RequestQueue`, once accepted
     attempts: list["Attempt"] = field(default_factory=list)
-    # First and last tick at which the request may have arrived whole, and its connection. Requests
-    # of one connection are accepted in order. None: the host accepts all requests in order.
+    # First and last tick at which the request may have arrived whole, and the number of its
+    # connection. Requests of one connection are accepted in order; 0: all requests are.
     earliest_arrival: int = 0
     latest_arrival: int = 0
-    connection: Any = None
+    connection_number: int = 0
     # Attempts of earlier requests with the same idempotency key that may have run.
     earlier_attempts: list["Attempt"] = field(default_factory=list)
 
--- a/tests/test_arrival_order.py
+++ b/tests/test_arrival_order.py
@@ -9,7 +9,6 @@
 from corkgauge.eventloop.arrival import ArrivalTime, last_arrival
 from corkgauge.eventloop.loop import SECOND
 from corkgauge.net.client_protocol import REFUSED
-from corkgauge.policy.ordering import KEPT_ACCEPTANCE_TICKS
 from tests.harness import HostHarness, request_frame, request_id
 
 KEY_SPACING_TICKS = 610  # between two requests of a key, as clients keep it
@@ -192,6 +191,6 @@
         harness.pass_time(SECOND, SECOND // 10)
     order = harness.socket_host.gateway.order
     assert len(order._latest_by_key) == 3
-    harness.pass_time(KEPT_ACCEPTANCE_TICKS, SECOND)
+    harness.pass_time(10 * SECOND, SECOND)  # longer than any deadline of the class
     harness.send(client, request_frame(4, route="load", entity="4", nonce="n4"))
     assert [*order._latest_by_key] == [3, 4]
