Late timers wait until the input of their time has been read

Callers saw: after a standstill of the process, a request whose answer had come in time was answered as failed, and its engine was told to abort and counted as late.

Cause: the limits of attempts, requests, pages and reports are timers, and all due timers ran between the first task that a poll had made ready and the next, or before the poll.

Change: a timer that is late by more than 20 ms runs only once the input of its time has been passed to its tasks, which is one poll and one run of each ready task. This is in the event loop, so it holds for every limit. Timers that are less late run between tasks as before.

--- a/corkgauge/eventloop/loop.py
+++ b/corkgauge/eventloop/loop.py
@@ -23,6 +23,9 @@
 # standstill may go unnoticed.
 MAX_POLL_MILLISECONDS = 25
 MAX_POLL_OVERRUN_TICKS = 100  # by which a poll may return late on a busy machine
+# A timer that is later than this waits until the input of its time has been read. Earlier, it runs
+# between any two tasks: many tasks in a row would delay it.
+MAX_TIMER_DELAY_TICKS = 200
 
 READ, WRITE = select.POLLIN, select.POLLOUT
 BROKEN = select.POLLHUP | select.POLLERR | select.POLLNVAL
@@ -84,6 +87,9 @@
         self._last_turn_ticks = 0
         self._standstill_ticks = 0  # length of the last poll if it took longer than it should have
         self.turn_number = 0
+        self._polled_at = self.now  # tick at which the last poll returned
+        # Input that came until this tick has been passed to the tasks that wait for it.
+        self._input_read_until = self.now
 
         # Tasks.
         self.parked: dict[int, ParkedTask] = {}  # by file descriptor
@@ -209,8 +215,8 @@
             task, arguments = self._ready.popleft()
             self.update_now()
             self._call_guarded(task.switch, arguments)
-            # Timers run between any two tasks; many tasks in a row would delay them.
             self._run_due_timers()
+        self._input_read_until = self._polled_at
         self.update_now()
         self._run_due_timers()
         timeout_ms = 0.0
@@ -226,6 +232,7 @@
         found = self._poller.poll(timeout_ms)
         poll_ended_at = self.clock()
         self.now = max(self.now, poll_ended_at)
+        self._polled_at = self.now
         poll_ticks = poll_ended_at - poll_began_at
         is_late = poll_ticks > timeout_ms * TICKS_PER_MILLISECOND + MAX_POLL_OVERRUN_TICKS
         self._standstill_ticks = poll_ticks if is_late else 0
@@ -239,11 +246,7 @@
 
         Called after each task, so a deferred callback runs right after the task that appended it.
         """
-        while (
-            self._due_milliseconds
-            and TICKS_PER_MILLISECOND * self._due_milliseconds[0] <= self.now
-            and not self.stopped
-        ):
+        while self._is_timer_due() and not self.stopped:
             timers = self._timers.pop(heappop(self._due_milliseconds))
             for due, method, arguments in sorted(timers, key=itemgetter(0)):
                 self.worst_lag = max(self.worst_lag, self.now - due)
@@ -256,6 +259,19 @@
             for method in callbacks:
                 self._call_guarded(method, ())
 
+    def _is_timer_due(self) -> bool:
+        """Return whether the next timers may run.
+
+        A timer may end a time limit. After a standstill of the process, the limit may have been
+        kept by input that is not read yet, so timers that are late wait for one poll and for the
+        tasks that it makes ready.
+        """
+        if not self._due_milliseconds:
+            return False
+        due = TICKS_PER_MILLISECOND * self._due_milliseconds[0]
+        is_late = self.now > due + MAX_TIMER_DELAY_TICKS
+        return due <= self.now and (not is_late or due <= self._input_read_until)
+
     def worst_delays(self) -> str:
         """Return the largest timer delay and the longest turn, in ticks, as text for the log."""
         return f"worst_lag={self.worst_lag} worst_turn={self.worst_turn}"
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -86,3 +86,58 @@
     stand_still(harness)
     servers.send_event(2, 2, id="e2", state="DRAINING")
     assert len(servers.sockets[2]) == 1 and harness.socket_host.last_event == 2
+
+
+def test_answer_that_came_before_the_limits_of_its_request_is_used_after_a_standstill():
+    """Guards against failing a request, and blaming its engine, over an answer that is unread."""
+    harness = HostHarness()
+    client, engine = harness.connect_client(), harness.connect_engine()
+    harness.send(client, request_frame(patience="1000"))
+    harness.receive(engine)
+    engine.sendall(command(request_id(1), "DONE", "chunks=1", "a\t\t\n"))
+    stand_still(harness)
+    assert [answer[1:3] for answer in harness.receive_answers(client)] == [(1, b"\1")]
+    assert b"abort" not in harness.receive(engine)
+
+
+def test_input_of_every_connection_is_read_before_late_timers_run():
+    """Guards against timers between the tasks that a poll after a standstill makes ready."""
+    clock = [10**9]
+    event_loop = EventLoop(clock=lambda: clock[0])
+    order = []
+
+    def wait_for_input(name, near):
+        event_loop.wait(near.fileno(), READ)
+        order.append(name)
+
+    pairs = {name: socket.socketpair() for name in ("first", "second")}
+    for name, (near, _far) in pairs.items():
+        event_loop.spawn(wait_for_input, name, near)
+    event_loop.call_later(SECOND, order.append, "timer")
+    event_loop.turn(0)
+    clock[0] += STANDSTILL_TICKS
+    for _near, far in pairs.values():
+        far.send(b"x")
+    for _ in range(3):
+        event_loop.turn(0)
+    assert order == ["first", "second", "timer"]
+
+
+def test_late_timers_run_while_input_never_ends():
+    """Guards against input that holds decisions back for ever."""
+    clock = [10**9]
+    event_loop = EventLoop(clock=lambda: clock[0])
+    near, far = socket.socketpair()
+    far.send(b"x")  # never read, so each poll reports it
+    fired = []
+
+    def read_slowly():
+        while True:
+            event_loop.wait(near.fileno(), READ)
+            clock[0] += SECOND
+
+    event_loop.spawn(read_slowly)
+    event_loop.call_later(SECOND // 2, fired.append, "timer")
+    for _ in range(4):
+        event_loop.turn(0)
+    assert fired == ["timer"]
