A connection's unread results hold no more memory than is left free for others

Callers saw: beside two clients that do not read their answers, results of several pages were not fetched, and answers to others were replaced by failures, until the requests of the two expired.

Cause: queued answers and requested pages share one budget, and nothing limited one connection. A result was also counted twice while it passed from its pages to the queue.

Change: half of the budget is for pages alone; the rest is shared by dynamic thresholds (Choudhury and Hahne, 1998): a queue may not hold more than is left free for all queues. The pages' memory is released before the answer reserves its own.

--- a/corkgauge/net/answer_queue.py
+++ b/corkgauge/net/answer_queue.py
@@ -3,6 +3,10 @@
 Owns the frames that did not fit into the send buffer, and the answers in the send buffer that are
 not yet written. A frame for which the send buffer cannot grow is passed on in parts of the buffer's
 initial size: that memory belongs to the connection, so an answer depends on nobody but its client.
+
+The memory for results is shared by dynamic thresholds (Choudhury and Hahne, 1998): a connection's
+queue may not hold more than is left free for all queues. So few clients that do not read cannot
+take the memory of others, while one alone may use a good part of it.
 """
 
 from __future__ import annotations
@@ -18,6 +22,9 @@
 if TYPE_CHECKING:
     from corkgauge.net.client_connection import ClientRequest
 
+# One part in so many of the memory for results is for pages that are requested from engines.
+REQUESTED_PAGES_DIVISOR = 2
+
 
 @dataclass(slots=True)
 class Answer:
@@ -65,6 +72,7 @@
         self.socket_host = socket_host
         self.link = link
         self.answer_count = 0  # answers of the connection so far
+        self._reserved_bytes = 0  # of the queued frames, in the memory budget for results
         self._waiting: deque[_WaitingFrame] = deque()
         # Answers in the send buffer: the count of buffered bytes at which each one ends, request.
         self._unwritten: deque[tuple[int, ClientRequest]] = deque()
@@ -92,10 +100,10 @@
             self._fill_send_buffer()
 
     def _enqueue(self, answer: Answer) -> None:
-        # Queued results for clients that do not read would fill the memory. Once the memory budget
-        # for results is used up, a short failure is queued instead of the result.
+        # Queued results for clients that do not read would fill the memory. Where there is no room
+        # for a result, a short failure is queued instead of it.
         reserved_bytes = answer.body_bytes()
-        if not self.socket_host.result_memory.reserve(reserved_bytes):
+        if not self._reserve(reserved_bytes):
             self.socket_host.counters["results dropped"] += 1
             answer = self._failure_instead_of(answer)
             reserved_bytes = 0
@@ -105,6 +113,20 @@
             self.socket_host.event_loop.call_later(delay_ticks, self._replace_expired)
         self._fill_send_buffer()
 
+    def _reserve(self, size: int) -> bool:
+        """Reserve `size` bytes for a queued result, unless this queue holds too much already."""
+        budget = self.socket_host.result_memory
+        kept_for_pages = budget.limit_bytes // REQUESTED_PAGES_DIVISOR
+        if not budget.reserve(size, kept_for_pages + self._reserved_bytes):
+            return False
+        self._reserved_bytes += size
+        return True
+
+    def _release(self, frame: _WaitingFrame) -> None:
+        self.socket_host.result_memory.release(frame.reserved_bytes)
+        self._reserved_bytes -= frame.reserved_bytes
+        frame.reserved_bytes = 0
+
     def _replace_expired(self) -> None:
         """Replace expired answers by failures; called by timer at the end of each request's time.
 
@@ -149,13 +171,12 @@
         answer = frame.answer
         if answer is None or frame.has_begun() or self.socket_host.now < answer.expires_at:
             return
-        self.socket_host.result_memory.release(frame.reserved_bytes)
-        frame.reserved_bytes = 0
+        self._release(frame)
         frame.answer = self._failure_instead_of(answer)
         frame.data = b"".join(frame.answer.parts())
 
     def _drop_first_waiting(self) -> None:
-        self.socket_host.result_memory.release(self._waiting.popleft().reserved_bytes)
+        self._release(self._waiting.popleft())
 
     def _on_queued_whole(self, answer: Answer) -> None:
         if answer.client_request is not None:
--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -463,6 +463,8 @@
         if sum(len(each or b"") for each in in_flight_attempt.pages) > MAX_RESULT_BYTES:
             return "result is longer than the limit of 48,000 bytes"
         in_flight_attempt.link.release_attempt(in_flight_attempt)
+        # The answer reserves memory for what its client does not read at once.
+        self.pager.release_memory(in_flight_attempt)
         if not request.is_finished:
             self.send_final_answer(request, SERVED, in_flight_attempt.pages)
         self.finish_attempt(in_flight_attempt, AttemptOutcome.SUCCEEDED)
@@ -476,9 +478,7 @@
     def notify_attempt_finished(self, in_flight_attempt: InFlightAttempt, outcome: int) -> None:
         """Report an attempt's outcome to all subsystems, and to the gateway last."""
         attempt = in_flight_attempt.attempt
-        if in_flight_attempt.reserved_page_bytes:
-            self.result_memory.release(in_flight_attempt.reserved_page_bytes)
-            in_flight_attempt.reserved_page_bytes = 0
+        self.pager.release_memory(in_flight_attempt)
         in_flight_attempt.pages = []
         reports_resources = self.settings.reports_usage and outcome == AttemptOutcome.SUCCEEDED
         self.cancelled_attempts.pop(attempt, None)
--- a/corkgauge/net/results.py
+++ b/corkgauge/net/results.py
@@ -108,6 +108,12 @@
     def _defer_page_requests(self) -> None:
         self.host.event_loop.deferred_callbacks.append(self.request_pages)
 
+    def release_memory(self, in_flight: InFlightAttempt) -> None:
+        """Release the memory that was reserved for the pages of an attempt, if any."""
+        if in_flight.reserved_page_bytes:
+            self.host.result_memory.release(in_flight.reserved_page_bytes)
+            in_flight.reserved_page_bytes = 0
+
     def on_pages_late(self, in_flight: InFlightAttempt, earlier_count: int, since: int) -> None:
         """Fail an attempt whose next page is overdue; called again by timer.
 
