At shutdown a failed connection no longer resets those that wait behind it

Callers saw: requests on established connections were lost at a shutdown if a connection before theirs in the queue had failed.

Cause: Acceptor.shut stopped at any OSError, and Linux passes an error of one waiting connection on as that of accept. Change: such errors are passed over; it stops at an empty queue and without descriptors or memory as before.

Evidence: the new test fails on the program before (0 of 2 connections accepted).

--- a/corkgauge/net/acceptor.py
+++ b/corkgauge/net/acceptor.py
@@ -15,6 +15,19 @@
 MAX_ACCEPTS_IN_A_ROW = 64  # before other tasks run
 NO_CONNECTION = (errno.EAGAIN, errno.EWOULDBLOCK)
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+# Errors of one connection that Linux passes on when it is accepted (accept(2)); others may wait.
+FAILED_CONNECTION = (
+    errno.ECONNABORTED,
+    errno.EHOSTDOWN,
+    errno.EHOSTUNREACH,
+    errno.ENETDOWN,
+    errno.ENETUNREACH,
+    errno.ENONET,
+    errno.ENOPROTOOPT,
+    errno.EOPNOTSUPP,
+    errno.EPERM,
+    errno.EPROTO,
+)
 BARRED_PAUSE_TICKS = 100  # until `is_barred` is called again
 FULL_PAUSE_TICKS = 50  # after no connection could be closed, or no descriptor was free
 ROOM_MADE_PAUSE_TICKS = 1  # lets the tasks of the closed connections end
@@ -91,11 +104,11 @@
         return True
 
     def shut(self) -> int:
-        """Accept waiting connections until none is left or accepting fails; then stop listening.
+        """Accept all waiting connections, as far as there are resources; then stop listening.
 
         Returns the number of accepted connections. Requests on a connection that the operating
         system has established count as received, whether or not this program has accepted the
-        connection. Connections that are left when accepting fails are reset.
+        connection. Connections that are left when no descriptor or memory is free are reset.
         """
         if not self.is_open:
             return 0
@@ -104,7 +117,9 @@
         while True:
             try:
                 sock, _ = self.sock.accept()
-            except OSError:
+            except OSError as problem:
+                if problem.errno in FAILED_CONNECTION:
+                    continue
                 break
             found += 1
             self.socket_host.add_client(sock, self._waiting_since)
--- a/tests/test_connection_races.py
+++ b/tests/test_connection_races.py
@@ -3,6 +3,7 @@
 Each test forces the order of events that would cause a failure.
 """
 
+import errno
 import json
 import os
 import signal
@@ -435,6 +436,31 @@
     return acceptor
 
 
+class FailingListener:
+    """A listening socket whose next accept fails with the error of a connection that is gone."""
+
+    def __init__(self, sock):
+        self._sock, self._has_failed = sock, False
+
+    def accept(self):
+        if not self._has_failed:
+            self._has_failed = True
+            raise ConnectionAbortedError(errno.ECONNABORTED, "connection aborted")
+        return self._sock.accept()
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+
+def test_failed_connection_in_the_accept_queue_does_not_reset_those_behind_it_at_shutdown():
+    """Guards against losing requests of clients that are queued behind one that has gone."""
+    harness = LoopbackHarness()
+    acceptor = Acceptor(harness.event_loop, harness.socket_host, ("127.0.0.1", 0))
+    acceptor.sock = FailingListener(acceptor.sock)
+    clients = [socket.create_connection(acceptor.sock.getsockname()) for _ in range(2)]
+    assert acceptor.shut() == len(clients)
+
+
 def test_connection_in_the_accept_queue_at_shutdown_is_accepted_and_answered():
     harness = LoopbackHarness()
     engine, _ = harness.connect_engine()
