Peer health assesses only the engines of well-formed rows

Operators saw: after one row whose engine is no text, from a member with the key, no engine was assessed any more.

Cause: the engines to assess were taken from rows that were not checked; a number among them cannot be sorted with text, so each period raised TypeError before the set was cleared.

Evidence: the new test fails on the program before.

--- a/corkgauge/peer_health/health_report.py
+++ b/corkgauge/peer_health/health_report.py
@@ -101,7 +101,7 @@
         return None
     reporter, incarnation, serial, age, engine, engine_incarnation, fault, slowness, samples = row
     numbers = incarnation, serial, age, engine_incarnation, slowness, samples
-    if not isinstance(reporter, str) or not _is_engine_reference(engine):
+    if not isinstance(reporter, str) or not is_engine_reference(engine):
         return None
     # `type` instead of `isinstance`: a bool is an int too, and would be encoded as a different row
     # when the report is gossiped on.
@@ -122,6 +122,19 @@
     )
 
 
+def named_engines(rows: Sequence[Any]) -> set[str]:
+    """Return the engines that the rows of a received datagram name; malformed rows name none.
+
+    >>> named_engines([["n1", 1, 1, 0, "e1", 0, 4, 0, 0], ["n1", 1, 1, 0, 7, 0, 4, 0, 0], None])
+    {'e1'}
+    """
+    return {
+        row[ROW_ENGINE]
+        for row in rows
+        if isinstance(row, list) and len(row) == ROW_LENGTH and is_engine_reference(row[ROW_ENGINE])
+    }
+
+
 def last_fault(fault_history: Sequence[str]) -> Fault:
     """Return the latest fault in a history, where an empty string is an answer without a fault.
 
@@ -134,5 +147,6 @@
     return Fault.NONE
 
 
-def _is_engine_reference(value: Any) -> bool:
+def is_engine_reference(value: Any) -> bool:
+    """Return whether a received value can be the reference of an engine."""
     return isinstance(value, str) and 0 < len(value) <= MAX_ENGINE_CHARS
--- a/corkgauge/peer_health/service.py
+++ b/corkgauge/peer_health/service.py
@@ -20,7 +20,7 @@
     Assessment,
     assess,
 )
-from corkgauge.peer_health.health_report import ROW_ENGINE, ROW_LENGTH, Fault, last_fault
+from corkgauge.peer_health.health_report import Fault, last_fault, named_engines
 from corkgauge.peer_health.messages import (
     RECONCILIATION_SUBJECT,
     STATUS_SUBJECT,
@@ -253,11 +253,8 @@
             self._send_reconciliation(sender, message.stage + 1, digest, missing)
 
     def _merge(self, now: int, rows: Any) -> None:
-        engines = {
-            row[ROW_ENGINE] for row in rows if isinstance(row, list) and len(row) == ROW_LENGTH
-        }
         if self.reports.merge(now, rows):
-            self.updated_engines.update(engines)
+            self.updated_engines |= named_engines(rows)
 
     # Updating the gateway.
 
--- a/tests/test_peer_health.py
+++ b/tests/test_peer_health.py
@@ -13,10 +13,12 @@
     HealthReport,
     encode_row,
 )
+from corkgauge.peer_health.messages import StatusUpdate, encode_status
 from corkgauge.peer_health.permit_transfer import PermitTransfer
 from corkgauge.peer_health.reports import HealthReports
 from corkgauge.peer_health.retry_throttle import MIN_BUDGET_FRACTION, RetryThrottle
 from tests.harness import SECOND, GatewayHarness
+from tests.landed_samples import Instance
 
 ROWS = st.lists(
     st.tuples(
@@ -320,3 +322,15 @@
     assert harness.gateway.retry_budget.has_left()
     harness.gateway.retry_budget.throttle = 0.2
     assert not harness.gateway.retry_budget.has_left()
+
+
+def test_malformed_engine_in_a_row_does_not_stop_the_assessments():
+    """Guards against a member whose one malformed row ends all assessments for good."""
+    service = Instance("n1").peer_health
+    malformed_rows = [row(engine=7), row(engine=["e1"]), [1], None]
+    update = StatusUpdate(1, 0, 0, 0, [row(), *malformed_rows])
+    service.on_status_update("n2", encode_status(update))
+    assert service.reports.rejected_count == len(malformed_rows)
+    assert service.updated_engines == {"e1"}
+    service.run_period()
+    assert service.updated_engines == set()
