A roster or key file over the limit is refused instead of cut off in silence

Operators saw: members behind the first 1,048,576 characters of a roster were missing without a word.

Cause: read_file took what it had read up to the limit for the whole file. Change: it is refused, as the operator file itself is.

--- a/corkgauge/config/operator_element.py
+++ b/corkgauge/config/operator_element.py
@@ -65,14 +65,17 @@
         return host, int(port)
 
     def read_file(self, name: str) -> str:
-        """Return the first MAX_FILE_BYTES characters of a file that the element names.
+        """Return the text of a file that the element names.
 
-        A longer file is truncated without an error. Raises ConfigurationError for a file that is
-        unreadable or not UTF-8.
+        Raises ConfigurationError for a file that is unreadable, not UTF-8, or longer than
+        MAX_FILE_BYTES: half of a roster or of a key would be worse than none.
         """
         try:
-            with open(name, encoding="utf-8") as file:
-                return file.read(MAX_FILE_BYTES)
+            with open(name, "rb") as file:
+                data = file.read(MAX_FILE_BYTES + 1)
+            if len(data) > MAX_FILE_BYTES:
+                raise self.error(f"a file {name} of {MAX_FILE_BYTES} bytes at most, found more")
+            return data.decode()
         except (OSError, UnicodeDecodeError) as problem:
             reason = getattr(problem, "strerror", "not UTF-8 text")
             raise self.error(f"a readable file {name}, found: {reason}") from None
