A voter writes a grant again whose write failed

Candidates saw: after a write of a grant had failed (a disk full for a moment), the voter answered no repeated request for that grant, although the disk worked again.

Cause: since a repeat waits for the pending write, it did nothing else.

Change: a repeat gives the record again; it joins the pending write, is written again after a second, or is confirmed at once if it is on disk. The answer is sent once.

Evidence: the new test fails on the program before. The test of repeats during a pending write runs all callbacks that wait now, where it expected one; it still asks for exactly one answer, after the write.

--- a/corkgauge/leases/voter.py
+++ b/corkgauge/leases/voter.py
@@ -237,6 +237,8 @@
         vote.granted_until = self.host.now + self.timing.grant_ticks
         if vote.unstored_request is not None:
             vote.unstored_request = request
+            # Joins the pending write. A write that failed is never confirmed, and is repeated so.
+            self._persist(self._on_grant_stored, candidate, vote, request.ballot)
             return
         self._reply(GrantReply, candidate, vote, request, True)
 
