Test: a collector that never reads is replaced at once, not until a fixed time

Traced by a log of each dial: it asked that the second collector is active 40 s after the start, which is 2.3 s after the first one was given up. The first one is left alone for half a second (with jitter) and then tried again, and takes over as soon as it is connected, as docs/flow-export.md says. It did not connect only because its dial took one step of the simulated clock, 50 ms, and took none since timers and tasks of a turn changed places.

The test stops when the first collector is given up and asks, within 0.4 s, before the earliest next try, for all that it asked for before: the second one active, octets received, records bounded, octets accounted for.

--- a/tests/test_flow_export.py
+++ b/tests/test_flow_export.py
@@ -957,17 +957,28 @@
     site = ExportSite(tmp_path, ("tcp", "udp"))
     site.collectors[0].ignores_input = True
     site.harness.socket_host.settings.idle_timeout_ticks = 10**9
-    for _ in range(400):
-        for index in range(250):  # in total more than the socket buffers hold
-            site.exporter.buffers["first"].add(make_delta(site.request_number * 10**6 + index))
-        site.request_number += 1
-        site.advance_seconds(0.1, 500)
     export_buffer = site.exporter.buffers["first"]
+
+    def export_for(seconds):
+        for _ in range(round(10 * seconds)):
+            for index in range(250):
+                export_buffer.add(make_delta(site.request_number * 10**6 + index))
+            site.request_number += 1
+            site.advance_seconds(0.1, 500)
+
+    def is_collector_lost():
+        return any("collector accepts no data" in line for line in site.harness.logged)
+
+    for _ in range(400):  # in total more than the socket buffers hold
+        if is_collector_lost():
+            break
+        export_for(0.1)
+    assert is_collector_lost()
+    export_for(0.4)  # the first one is left alone for at least 0.375 s, then tried again
     assert (
         export_buffer.unaccounted_octets() == 0
         and export_buffer.held_octets == export_buffer.recounted_octets()
     )
-    assert any("collector accepts no data" in line for line in site.harness.logged)
     assert (
         export_buffer.active is export_buffer.peers[1]
         and site.received_octets(1) > 0
