--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -523,7 +523,8 @@
             print(line)
         status = FAILED if breaks else PASSED
         record(f"rule {BROKEN if breaks else HELD}")
-    except Exception as problem:  # whatever it is, the case says nothing of the rule
+    # Whatever it is, the case says nothing of the rule.
+    except (Exception, asyncio.CancelledError) as problem:
         record(f"could not run: {type(problem).__name__}: {problem}")
         print(f"could not run: {problem}")
     record.save()
@@ -532,6 +533,8 @@
 
 async def _play(record, play):
     cleanup = []
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         return await asyncio.wait_for(play(record, cleanup), 110)
     finally:
