A client over a limit gets its answers first, and limits count by rate

Cause: the limits on cancellations, unusable frames and requests over 32 open counted over the life of a connection; and a limit that was exceeded dropped the unread input like broken framing does.

The limits are token buckets now, 32 at once and 32 a second; the limit on peers' datagrams uses the same class. A client over a limit is dismissed: what it has sent is answered before the close.

--- a/corkgauge/eventloop/connection.py
+++ b/corkgauge/eventloop/connection.py
@@ -11,6 +11,7 @@
 from typing import Any, Protocol
 
 from corkgauge.eventloop.arrival import ArrivalTime, UnreadInput
+from corkgauge.eventloop.dismissal import Dismissal
 from corkgauge.eventloop.loop import BROKEN, GONE, READ, WRITE, EventLoop
 from corkgauge.eventloop.ring_buffer import RingBuffer
 
@@ -53,7 +54,9 @@
     frame from a client (`peer_is_client`) runs from the start of the connection. It is the peer's
     time alone: it does not run while the connection is not read for lack of memory, and does not
     end while input is unread. A client is informed why it is rejected: the owner's
-    `on_connection_rejected(reason)` is called first and may send the reason.
+    `on_connection_rejected(reason)` is called first and may send the reason. A client may also be
+    dismissed, that is, rejected once it has its answers: the owner's `on_dismissed()` is called at
+    once, and `is_answered()` tells whether all answers have been queued.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
 
         # State of the connection.
         self.close_reason = ""  # empty while the connection is open
+        self.dismissal: Dismissal | None = None
         self.is_lingering = False  # the peer still has time for reading the output
         self.linger_ticks = LINGER_TICKS
         self.is_parsing = False  # the machine is running and may call the owner
@@ -102,6 +106,7 @@
         try:
             while not self.close_reason:
                 self._run_once()
+                self._close_if_dismissed()
             if self.is_lingering:
                 self._linger()
         except Exception as problem:
@@ -136,6 +141,8 @@
 
     def _next_deadline(self) -> int | None:
         """Return the tick at which the connection acts without an event; None if there is none."""
+        if self.dismissal is not None:
+            return self.dismissal.deadline
         if self.paused_since != NEVER:
             return self.paused_since + MAX_MEMORY_WAIT_TICKS if self.peer_is_client else None
         if self._is_mid_frame():
@@ -145,11 +152,12 @@
     def _is_mid_frame(self) -> bool:
         """Return whether the time limit for receiving one frame is running."""
         return bool(self.frame_timeout_ticks) and (
-            self._has_frame_begun()
+            self.has_partial_frame()
             or (self.peer_is_client and not self.machine.complete_frame_count)
         )
 
-    def _has_frame_begun(self) -> bool:
+    def has_partial_frame(self) -> bool:
+        """Return whether part of a frame has been read."""
         ring = self.machine.inward
         return len(ring) > 0 or ring.discard_bytes_left > 0
 
@@ -166,7 +174,7 @@
             self._read(False)
             return
         # A frame that arrives byte by byte or never would occupy memory and a file descriptor.
-        self.reject("a frame that does not end" if self._has_frame_begun() else "nothing said")
+        self.reject("a frame that does not end" if self.has_partial_frame() else "nothing said")
 
     def has_unread_input(self) -> bool:
         """Return whether the socket holds input that this connection has not read yet."""
@@ -185,7 +193,9 @@
         self._parse_input()
         if self.close_reason:
             return
-        is_wait_over = now >= self.paused_since + MAX_MEMORY_WAIT_TICKS
+        is_wait_over = self.dismissal is not None or (
+            now >= self.paused_since + MAX_MEMORY_WAIT_TICKS
+        )
         if not ring.free_bytes and self.peer_is_client and is_wait_over:
             self.machine.discard_frame()
         if not ring.free_bytes:
@@ -316,6 +326,8 @@
         self.event_loop.set_event_mask(self.fd, self._event_mask())
         if not len(ring):
             self.owner.on_output_drained()
+            if self.dismissal is not None:
+                self.event_loop.wake(self.fd)
 
     def send_now(self, *buffers: bytes) -> bool:
         """Queue all buffers and write them at once, after the output queued before.
@@ -351,6 +363,21 @@
             self.owner.on_connection_rejected(reason)
         self.close(reason)
 
+    def dismiss(self, reason: str) -> None:
+        """Close a client's connection once all that the client has sent is answered.
+
+        Until then its frames are still passed to the owner, which gives each request an answer.
+        """
+        if self.close_reason or self.dismissal is not None:
+            return
+        self.dismissal = Dismissal(reason, self)
+        self.owner.on_dismissed()
+        self.event_loop.wake(self.fd)
+
+    def _close_if_dismissed(self) -> None:
+        if self.dismissal is not None and not self.close_reason and self.dismissal.is_over(self):
+            self.reject(self.dismissal.reason)
+
     def close_if_input_read(self, reason: str) -> bool:
         """Close the connection, unless input of a peer that may send more is still unread.
 
--- a/corkgauge/membership/datagrams.py
+++ b/corkgauge/membership/datagrams.py
@@ -20,6 +20,7 @@
 
 import msgpack
 
+from corkgauge.eventloop.token_bucket import TokenBucket
 from corkgauge.membership.sealing import SEAL_BYTES, Key, ReplayWindow
 
 MAGIC_BYTE = 0xC9
@@ -29,7 +30,6 @@
 INCARNATION_LIMIT = 2**62
 DATAGRAMS_PER_SECOND = 400.0  # sustained rate limit of one peer
 BURST_DATAGRAMS = 800.0  # burst size of the rate limit of one peer
-TICKS_PER_SECOND = 10_000  # a tick is a tenth of a millisecond
 ENVELOPE_FIELDS = 7
 
 # Rejection reasons; they are part of the counter names that operators read.
@@ -60,7 +60,6 @@
 
     __slots__ = (
         "allowance",
-        "allowance_updated_at",
         "incarnation",
         "name",
         "replay_window",
@@ -72,8 +71,9 @@
         self.incarnation = 0  # 0 while unknown
         self.sent_counter = 0
         self.replay_window = ReplayWindow()
-        self.allowance = BURST_DATAGRAMS  # remaining tokens, in datagrams
-        self.allowance_updated_at = 0  # ticks
+        # Without the limit, a member that floods datagrams uses the processor time that requests
+        # need.
+        self.allowance = TokenBucket(BURST_DATAGRAMS, DATAGRAMS_PER_SECOND)
 
     def restart(self, incarnation: int) -> None:
         """Reset the replay window for a later incarnation, whose counters start at 1 again."""
@@ -229,7 +229,7 @@
             return "stranger"
         if envelope.receiver != self.name:
             return "not to us"
-        if not self._spend_allowance(peer, now_ticks):
+        if not peer.allowance.take(now_ticks):
             return "flood"
         if envelope.receiver_incarnation > self.incarnation:
             # Incarnations are derived from the clock, so a clock that was set back gives the local
@@ -247,18 +247,6 @@
             return FROM_EARLIER_INCARNATION
         return ""
 
-    def _spend_allowance(self, peer: PeerSession, now_ticks: int) -> bool:
-        """Take one token of the peer's token bucket; return False if the bucket is empty."""
-        # Without the limit, a member that floods datagrams uses the processor time that requests
-        # need.
-        earned = (now_ticks - peer.allowance_updated_at) * DATAGRAMS_PER_SECOND / TICKS_PER_SECOND
-        peer.allowance = min(BURST_DATAGRAMS, peer.allowance + earned)
-        peer.allowance_updated_at = now_ticks
-        if peer.allowance < 1:
-            return False
-        peer.allowance -= 1
-        return True
-
     def _unseal(self, data: bytes) -> Envelope | str:
         """Verify the seal and return the envelope, or the rejection reason."""
         if len(data) < 2 + SEAL_BYTES or len(data) > MAX_DATAGRAM_BYTES or data[0] != MAGIC_BYTE:
--- a/corkgauge/net/client_connection.py
+++ b/corkgauge/net/client_connection.py
@@ -1,6 +1,7 @@
 """Handles one client connection: its open requests and the answers sent to the client.
 
-Owns the limits on the time for a frame and on unusable frames, and the close of the connection.
+Owns the limits on the time for a frame, on unusable frames and on cancellations, and the close of
+the connection.
 Holds a new request back for up to 30 ms while the connection has unread bytes, which may cancel the
 request. Before the connection of a client is closed for a fault of the client, all open requests
 are answered.
@@ -12,6 +13,7 @@
 from corkgauge.accounting.counter_names import EndReason, Side
 from corkgauge.eventloop.arrival import unread_byte_count
 from corkgauge.eventloop.connection import NEVER, StreamConnection
+from corkgauge.eventloop.token_bucket import TokenBucket
 from corkgauge.net import client_protocol as client_wire
 from corkgauge.net.answer_queue import Answer, AnswerQueue
 from corkgauge.net.client_protocol import FAILED, REFUSED, ClientProtocol, frame_head
@@ -24,9 +26,11 @@
 MIN_QUIET_TICKS = 500  # without traffic, before a connection may be closed to make room for others
 # Longest time that new requests are held back while their connection has unread bytes.
 MAX_BATCH_WAIT_TICKS = 300
-# Unusable frames, and requests above `MAX_OPEN_REQUEST_COUNT`, per connection; one more closes the
-# connection. Also the least number of cancellations that a client may send on a connection.
-MAX_FAULT_COUNT = 32
+# Unusable frames and requests above `MAX_OPEN_REQUEST_COUNT` that a client may send at once on a
+# connection, and as many cancellations: it may give up all its open requests at the same time.
+MAX_FAULT_COUNT = MAX_OPEN_REQUEST_COUNT
+FAULTS_PER_SECOND = MAX_FAULT_COUNT
+CANCELLATIONS_PER_ANSWER = 2  # that a client may send at once beyond the rate, up to the burst
 # A cancellation this close before the request's deadline counts as an expired request.
 DEADLINE_TOLERANCE_TICKS = 500
 # One part in so many of the memory for input is kept for clients that have sent a usable request:
@@ -84,7 +88,9 @@
         self.socket_host = socket_host
         self.number = next(connection_numbers)
         self.open: dict[int, Request | None] = {}  # open requests by stream number
-        self.fault_count = self.cancel_count = 0
+        self.fault_allowance = TokenBucket(MAX_FAULT_COUNT, FAULTS_PER_SECOND, socket_host.now)
+        self.cancel_allowance = TokenBucket(MAX_FAULT_COUNT, FAULTS_PER_SECOND, socket_host.now)
+        self.credited_answer_count = 0  # answers that cancellations were allowed for
         self.unsubmitted: list[Request] = []  # requests not yet passed to the gateway
         self.link = StreamConnection(
             socket_host.event_loop,
@@ -101,6 +107,8 @@
 
     def on_request_frame(self, stream: int, fields: dict[str, str], body: bytes) -> str:
         """Accept a request; return why the connection must be closed, or an empty string."""
+        if self.link.dismissal is not None:
+            return self._refuse_unread(stream)
         wrong = self._reason_if_answers_unread()
         return wrong or self.socket_host.on_request(self, stream, fields, body)
 
@@ -110,6 +118,10 @@
         Returns why the connection must be closed, or an empty string.
         """
         self.socket_host.counters["no memory"] += 1
+        return self._refuse_unread(stream)
+
+    def _refuse_unread(self, stream: int) -> str:
+        """Refuse a request whatever it holds; return a reason to close the connection, if any."""
         self.socket_host.ledger.record_rejected(self.socket_host.ledger.unusable_row)
         self.send_answer(stream, REFUSED, [])
         return self._reason_if_answers_unread()
@@ -126,13 +138,12 @@
         return "answers are not read" if len(self.answers) > MAX_UNREAD_ANSWER_COUNT else ""
 
     def on_cancel_frame(self, stream: int) -> str:
-        """Cancel a request; return why the connection must be closed, or an empty string.
+        """Cancel a request; the connection is never closed at once for it.
 
-        The client may cancel `MAX_FAULT_COUNT` requests of a connection, or twice as many as the
-        gateway has answered on the connection, whichever is more.
+        A client may cancel `MAX_FAULT_COUNT` requests at once, and go on at `FAULTS_PER_SECOND` and
+        `CANCELLATIONS_PER_ANSWER`; one that exceeds this is dismissed.
         """
         self.socket_host.counters["withdrawn"] += 1
-        self.cancel_count += 1
         request, socket_host = self.open.get(stream), self.socket_host
         if (
             request is not None
@@ -152,11 +163,23 @@
             socket_host.on_client_left(self.open.pop(stream, None), EndReason.CANCELLED)
         # A client that sends hundreds of requests and cancels them at once would cost work whose
         # results nobody reads.
-        return (
-            "withdrawn too often"
-            if self.cancel_count > max(MAX_FAULT_COUNT, 2 * self.answers.answer_count)
-            else ""
-        )
+        if not self._may_cancel():
+            self.link.dismiss("withdrawn too often")
+        return ""
+
+    def _may_cancel(self) -> bool:
+        new_answer_count = self.answers.answer_count - self.credited_answer_count
+        self.credited_answer_count = self.answers.answer_count
+        self.cancel_allowance.add(CANCELLATIONS_PER_ANSWER * new_answer_count)
+        return self.cancel_allowance.take(self.socket_host.now)
+
+    def on_fault(self, reason: str) -> None:
+        """Count a faulty frame, which has been answered; dismiss a client that sends too many.
+
+        A client that sends nothing else would take processing time from all other clients.
+        """
+        if not self.fault_allowance.take(self.socket_host.now):
+            self.link.dismiss(reason)
 
     def on_ready_check(self, stream: int) -> str:
         """Answer a readiness check: code 1 while serving, 2 during shutdown."""
@@ -166,26 +189,30 @@
         return self._reason_if_answers_unread()
 
     def on_unusable_frame(self, stream: int, reason: str) -> str:
-        """Answer an unusable frame on its stream.
-
-        The number of such frames is limited: a client that sends nothing else would take processing
-        time from all other clients.
-        """
+        """Answer an unusable frame on its stream; a client that sends too many is dismissed."""
         self.socket_host.counters["unreadable"] += 1
         if stream:
             self.socket_host.ledger.record_unusable()
-        self.fault_count += 1
         self.send_answer(stream, FAILED, [reason.encode()])
-        return "" if self.fault_count <= MAX_FAULT_COUNT else "too much that cannot be used"
+        self.on_fault("too much that cannot be used")
+        return self._reason_if_answers_unread()
 
-    def on_connection_rejected(self, reason: str) -> None:
-        """Answer all open requests, then send the reason for closing the connection."""
-        self.socket_host.counters["turned out"] += 1
+    def is_answered(self) -> bool:
+        """Return whether no request is open and no answer waits for room."""
+        return not self.open and not len(self.answers)
+
+    def on_dismissed(self) -> None:
+        """Answer all open requests, as the client exceeds a limit; later ones are refused."""
         for request in self.unsubmitted:
             request.is_finished = True
             self.socket_host.send_final_answer(request, REFUSED, [], EndReason.CONNECTION_EVICTED)
         for request in [*self.open.values()]:
             self.socket_host.gateway.on_deadline_near(request)
+
+    def on_connection_rejected(self, reason: str) -> None:
+        """Answer all open requests, then send the reason for closing the connection."""
+        self.socket_host.counters["turned out"] += 1
+        self.on_dismissed()
         self.send_answer(0, FAILED, [reason.encode()])
 
     def submit_requests(self, max_wait_ticks: int = MAX_BATCH_WAIT_TICKS) -> None:
--- a/corkgauge/net/platform_frontend.py
+++ b/corkgauge/net/platform_frontend.py
@@ -15,7 +15,6 @@
 from corkgauge.eventloop.loop import SECOND, EventLoop
 from corkgauge.net import client_protocol as client_wire
 from corkgauge.net.client_connection import (
-    MAX_FAULT_COUNT,
     MAX_OPEN_REQUEST_COUNT,
     ClientConnection,
     ClientRequest,
@@ -259,15 +258,16 @@
     def _reject_for_lack_of_room(
         self, client_connection: ClientConnection, client_request: ClientRequest
     ) -> str:
-        """Reject a request for lack of room; return why the connection must be closed, if so.
+        """Reject a request for lack of room; the connection is never closed at once for it.
 
-        A connection that exceeds `MAX_OPEN_REQUEST_COUNT` too often is closed.
+        A client that exceeds `MAX_OPEN_REQUEST_COUNT` too often is dismissed.
         """
         self.counters["overfull"] += 1
-        client_connection.fault_count += len(client_connection.open) >= MAX_OPEN_REQUEST_COUNT
         self.ledger.record_rejected(client_request.row)
         client_connection.send_answer(client_request.stream, REFUSED, [])
-        return "" if client_connection.fault_count <= MAX_FAULT_COUNT else "too many open at once"
+        if len(client_connection.open) >= MAX_OPEN_REQUEST_COUNT:
+            client_connection.on_fault("too many open at once")
+        return ""
 
     def _time_left(self, request_fields: RequestFields, stream: int, arrival: ArrivalTime) -> int:
         """Return the ticks until the request expires by the client's clock, at least 1.
