An id that may have run is not run again after its client has left

Callers saw: an id ran twice when it came again after its client had left. Played with real processes: of three tries of one unsafe request, each left after 0.3 s, three ran, by close and by cancellation.

Cause: an id was in use only while its request was open; the table forgot it with the client, while an engine might still run it.

Test: three cases fail without the line that remembers.

--- a/corkgauge/net/host.py
+++ b/corkgauge/net/host.py
@@ -30,6 +30,7 @@
 from corkgauge.net.engine_pool import EnginePool
 from corkgauge.net.in_flight import InFlightAttempt, outcome_of
 from corkgauge.net.live_records import LiveRecords
+from corkgauge.net.recent_names import RecentNames
 from corkgauge.net.results import MAX_RESULT_BYTES, ResultPager
 from corkgauge.policy.records import (
     Attempt,
@@ -38,6 +39,7 @@
     Repeatability,
     Request,
 )
+from corkgauge.policy.retries import possibly_executed_attempts
 
 # Progress reports on an attempt that an engine may omit before the attempt counts as lost.
 MAX_MISSED_REPORT_COUNT = 3
@@ -99,6 +101,7 @@
         self.max_engine_links = platform_config.max_sockets // 3
         self.dials_in_progress = 0  # connections to engines that are being opened
         self.open_requests: dict[str, Request] = {}  # by name
+        self.recent_names = RecentNames()
         self.engine_pools: dict[str, EnginePool] = {}  # by the engine's name
         # The next four are indexes, so that no request, timer or partial endpoint list has to
         # iterate over all engines.
@@ -336,6 +339,8 @@
             return
         self.statement_memory.release(client_request.budgeted_bytes)
         self.open_requests.pop(client_request.name, None)
+        if request.request_class.repeatability == Repeatability.NON_IDEMPOTENT:
+            self._remember_if_executed(request)
         self.finished_requests.append(request)
         if reason < 0:
             reason = find_end_reason(
@@ -385,8 +390,14 @@
                     if in_flight_attempt is not None and in_flight_attempt.link is None:
                         in_flight_attempt.engine_pool.waiting.remove(in_flight_attempt)
                         self.fail_attempt(in_flight_attempt, "withdrawn")
+            self._remember_if_executed(request)
             self.finished_requests.append(request)
 
+    def _remember_if_executed(self, request: Request) -> None:
+        """Accept no further request of this name, if an engine may have run the request."""
+        if possibly_executed_attempts(request):
+            self.recent_names.remember(request.host_reference.name, self.now)
+
     # Accounting.
 
     def audit(self) -> None:
--- a/corkgauge/net/platform_frontend.py
+++ b/corkgauge/net/platform_frontend.py
@@ -54,7 +54,7 @@
     ) -> None:
         super().__init__(event_loop, platform_config, log, used_bytes)
         self.field_reader = RequestFieldReader(
-            self.request_classes, self.tenants, self.max_request_memory_mb, self.open_requests
+            self.request_classes, self.tenants, self.max_request_memory_mb, self.is_name_used
         )
         # Tick by which all answers are due, once shutdown has begun.
         self.shutdown_deadline = NEVER
@@ -210,6 +210,10 @@
             )
         )
 
+    def is_name_used(self, name: str) -> bool:
+        """Return whether a name is that of an open request, or of one that may have run."""
+        return name in self.open_requests or self.recent_names.contains(name, self.now)
+
     def on_request(
         self, client_connection: ClientConnection, stream: int, fields: dict[str, str], body: bytes
     ) -> str:
--- a/corkgauge/net/request_fields.py
+++ b/corkgauge/net/request_fields.py
@@ -6,7 +6,7 @@
 """
 
 import re
-from collections.abc import Container, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from corkgauge.net.amounts import parse_amount
@@ -53,12 +53,12 @@
         request_classes: Mapping[str, RequestClass],
         tenants: Mapping[str, int],
         max_memory_mb: float,
-        names_in_use: Container[str],
+        is_name_used: Callable[[str], bool],
     ) -> None:
         self.request_classes = request_classes
         self.tenants = tenants
         self.max_memory_mb = max_memory_mb
-        self.names_in_use = names_in_use
+        self.is_name_used = is_name_used
 
     def read(self, fields: Mapping[str, str], statement: bytes) -> RequestFields | UnusableField:
         """Return the fields of a request, or the first unusable one."""
@@ -99,8 +99,9 @@
         if not ORDER_KEY(fields.get("entity") or "0"):
             return "entity"
         name = fields.get("trace", "")
-        # With two open requests of one name, answers could reach the wrong request.
-        if not REQUEST_NAME(name) or name in self.names_in_use:
+        # With two open requests of one name, answers could reach the wrong request. A request that
+        # comes again under its name may have run already.
+        if not REQUEST_NAME(name) or self.is_name_used(name):
             return "trace"
         nonce = fields.get("nonce", "")
         is_keyed = request_class.repeatability == Repeatability.KEYED
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -4,8 +4,10 @@
 
 from corkgauge.eventloop.loop import SECOND
 from corkgauge.net.client_connection import MAX_FAULT_COUNT
-from tests.harness import HostHarness, request_frame
+from corkgauge.net.recent_names import MAX_NAME_COUNT, REMEMBERED_TICKS, RecentNames
+from tests.harness import HostHarness, request_frame, request_id
 
+NAME = request_id(7)
 REASON = b"withdrawn too often"
 
 
@@ -60,3 +62,47 @@
     streams = answered_streams(harness, client)
     assert streams[-1] == 0 and len(streams) < 300
     assert client.recv(1) == b""
+
+
+@pytest.mark.parametrize("leave", ["close", "cancel", "answered"])
+def test_id_that_may_have_run_is_not_run_again(leave):
+    """Guards against an unsafe request that ran twice, as it came again after its client left."""
+    harness = HostHarness()
+    client, engine = harness.connect_client(), harness.connect_engine()
+    frame = request_frame(1, trace=NAME, route="once")
+    harness.send(client, frame)
+    assert harness.receive(engine).count(b"fetch") == 1
+    if leave == "answered":
+        harness.send_engine_command(engine, NAME, "DONE", "chunks=1", "a\t\t\n")
+        assert harness.receive_answers(client)[0][2] == b"\1"
+    elif leave == "cancel":
+        harness.send(client, cancel_frame(1))
+    client.close()
+    harness.turn()
+    again = harness.connect_client()
+    harness.send(again, frame)
+    harness.pass_time(SECOND // 10)
+    assert harness.receive_answers(again) == [(4, 1, b"\3", b"trace: unusable")]
+    assert b"fetch" not in harness.receive(engine)
+
+
+def test_id_of_a_request_that_never_ran_may_come_again():
+    """Guards against refusing an id for good that no engine has seen."""
+    harness = HostHarness()
+    client = harness.connect_client()
+    harness.send(client, request_frame(1, trace=NAME, route="once"))
+    harness.send(client, cancel_frame(1))
+    engine = harness.connect_engine()
+    harness.send(client, request_frame(2, trace=NAME, route="once"))
+    assert harness.receive(engine).count(b"fetch") == 1
+
+
+def test_remembered_ids_are_bounded_under_ever_new_ids():
+    """Guards against memory that grows with each new id."""
+    names = RecentNames()
+    for number in range(MAX_NAME_COUNT + 10):
+        names.remember(str(number), number)
+    assert len(names) == MAX_NAME_COUNT
+    assert names.contains(str(MAX_NAME_COUNT), MAX_NAME_COUNT)
+    names.remember("last", 2 * REMEMBERED_TICKS)
+    assert len(names) == 1
