Readers of the accounts neither shut out operators nor hold up requests

Callers saw: with silent or flooding readers on the operators' socket, operators' calls were turned away (8 of 8), and 16 of 87 clients' requests were refused while four readers asked for /metrics.

Cause: whoever had one of the four places kept it, and the next was closed at once; 32 KB were rendered in one step; the metrics library was loaded within a scrape.

Readers wait for a place, places are given up while somebody waits, and rendering pauses for three times its length for each reader.

--- a/corkgauge/accounting/http_listener.py
+++ b/corkgauge/accounting/http_listener.py
@@ -6,7 +6,9 @@
 
 Owns one listening socket and its few readers. The listener must not block the event loop and must
 not hold memory for a reader that does not read. Therefore a snapshot is taken in one step and then
-rendered in chunks, as fast as the reader receives them.
+rendered in chunks, as fast as the reader receives them, with pauses that leave most of the
+processor to requests. Where all readers' places are taken, a place is freed for the next reader: by
+the end of a response, or by ending the reader that has kept its place waiting longest.
 """
 
 import contextlib
@@ -20,6 +22,7 @@
 
 import h11
 
+from corkgauge.accounting import exposition
 from corkgauge.accounting.json_text import encode_json_chunks, join_chunks
 from corkgauge.accounting.snapshot import Snapshot
 from corkgauge.eventloop.loop import READ, SECOND, WRITE, EventLoop
@@ -30,6 +33,11 @@
 MAX_BODY_BYTES = 16_384
 RECEIVE_BYTES = 4096
 BACKLOG = 16
+# Time for which a reader may keep its place waiting, for its request or for room to send a chunk,
+# while others wait for a place.
+MAX_WAIT_IN_PLACE_TICKS = SECOND // 4
+PLACE_CHECK_TICKS = 100
+PAUSE_FACTOR = 3  # pause after a step, as a multiple of its time, for each reader
 MAX_PROBLEM_CHARACTERS = 200
 SOCKET_MODE = 0o660
 JSON_TYPE = "application/json"
@@ -86,6 +94,9 @@
         self.log = log
         self.routes = routes
         self.reader_count = 0
+        self.is_crowded = False  # a reader waits for a place
+        # Tick since which a reader keeps its place waiting, by descriptor.
+        self._waiting_since: dict[int, int] = {}
         self.sock: socket.socket | None = open_listening_socket(address)
         self.descriptor = self.sock.fileno()
         event_loop.spawn(self._accept)
@@ -106,26 +117,47 @@
         while self.sock is not None:
             self.event_loop.wait(self.descriptor, READ)
             while self.sock is not None:
+                # Without this limit, readers would use up the descriptors that clients and engines
+                # need.
+                self._wait_for_place()
+                if self.sock is None:
+                    return
                 try:
                     sock, _ = self.sock.accept()
                 except OSError:
                     break
-                # Without this limit, readers would use up the descriptors that clients and engines
-                # need.
-                if self.reader_count >= self.max_readers:
-                    sock.close()
-                    continue
                 sock.setblocking(False)
                 self.reader_count += 1
                 self.event_loop.spawn(self._serve, sock)
 
+    def _wait_for_place(self) -> None:
+        """Wait while all places are taken and somebody waits for one."""
+        while (
+            self.sock is not None
+            and self.reader_count >= self.max_readers
+            and self.event_loop.poll_now(self.descriptor)[0] & READ
+        ):
+            self.is_crowded = True
+            self._end_longest_waiting()
+            self.event_loop.sleep(PLACE_CHECK_TICKS)
+        self.is_crowded = False
+
+    def _end_longest_waiting(self) -> None:
+        """End the reader that keeps its place waiting longest, if it is too long."""
+        if not self._waiting_since:
+            return
+        descriptor = min(self._waiting_since, key=self._waiting_since.__getitem__)
+        since = self._waiting_since[descriptor]
+        if self.event_loop.now >= since + MAX_WAIT_IN_PLACE_TICKS:
+            self.event_loop.wake(descriptor)  # without an event, as after the deadline
+
     # The task that serves one reader.
 
     def _serve(self, sock: socket.socket) -> None:
         try:
             connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
             timeout_ticks = REQUEST_TIMEOUT_TICKS
-            while self._serve_request(sock, connection, timeout_ticks):
+            while self._serve_request(sock, connection, timeout_ticks) and not self.is_crowded:
                 connection.start_next_cycle()
                 timeout_ticks = IDLE_TIMEOUT_TICKS
         except (OSError, h11.ProtocolError):
@@ -144,29 +176,49 @@
         response = self._build_response(request)
         headers = [("Content-Type", response.content_type), ("Transfer-Encoding", "chunked")]
         self._send(sock, connection, h11.Response(status_code=response.status, headers=headers))
+        step_began_at = self.event_loop.clock()
         for chunk in join_chunks(response.body):
             self._send(sock, connection, h11.Data(data=chunk))
-            # Without this pause, sending many chunks in a row would block the event loop.
-            self.event_loop.sleep(1)
+            self._pause(step_began_at)
+            step_began_at = self.event_loop.clock()
         self._send(sock, connection, h11.EndOfMessage())
         return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
+    def _pause(self, step_began_at: int) -> None:
+        """Let other tasks run after a step, for longer the more readers there are.
+
+        Readers that ask again and again would otherwise take the processor from requests.
+        """
+        step_ticks = self.event_loop.clock() - step_began_at
+        self.event_loop.sleep(max(PAUSE_FACTOR * self.reader_count * step_ticks, 1))
+
+    def _wait(self, sock: socket.socket, mask: int, since: int, deadline: int) -> int:
+        """Wait for a reader, which keeps its place waiting since a tick; return 0 to end it."""
+        descriptor = sock.fileno()
+        self._waiting_since[descriptor] = since
+        try:
+            return self.event_loop.wait(descriptor, mask, deadline)
+        finally:
+            del self._waiting_since[descriptor]
+
     def _read_request(
         self, sock: socket.socket, connection: h11.Connection, timeout_ticks: int
     ) -> HttpRequest | None:
         """Return the next request, or None if no complete request can be received.
 
-        None is returned after the timeout, if the reader closes the connection, and if more data
-        follows once the body exceeds MAX_BODY_BYTES. The last chunk of a body may exceed that
-        limit, because the size is checked before the chunk is added.
+        None is returned after the timeout, if the place is needed for another reader, if the reader
+        closes the connection, and if more data follows once the body exceeds MAX_BODY_BYTES. The
+        last chunk of a body may exceed that limit, because the size is checked before the chunk is
+        added.
         """
         head: h11.Request | None = None
         body = b""
-        deadline = self.event_loop.now + timeout_ticks
+        began_at = self.event_loop.now
+        deadline = began_at + timeout_ticks
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                if not self.event_loop.wait(sock.fileno(), READ, deadline):
+                if not self._wait(sock, READ, began_at, deadline):
                     return None
                 connection.receive_data(sock.recv(RECEIVE_BYTES))
             elif isinstance(event, h11.Request):
@@ -181,9 +233,6 @@
     def _build_response(self, request: HttpRequest) -> HttpResponse:
         match request.method, request.path:
             case b"GET", b"/metrics":
-                # The metrics library is loaded on the first scrape only, because it needs memory.
-                from corkgauge.accounting import exposition
-
                 chunks = exposition.render_text_chunks(self.take_snapshot())
                 return HttpResponse(200, exposition.CONTENT_TYPE, chunks)
             case b"GET", b"/figures":
@@ -210,12 +259,13 @@
         Without the timeout, a reader that does not read would keep its snapshot in memory forever.
         """
         unsent = memoryview(connection.send(event) or b"")
-        deadline = self.event_loop.now + REQUEST_TIMEOUT_TICKS
+        began_at = self.event_loop.now
+        deadline = began_at + REQUEST_TIMEOUT_TICKS
         while unsent:
             try:
                 unsent = unsent[sock.send(unsent) :]
             except BlockingIOError:
-                if not self.event_loop.wait(sock.fileno(), WRITE, deadline):
+                if not self._wait(sock, WRITE, began_at, deadline):
                     raise TimeoutError("the reader did not receive the response in time") from None
 
 
--- a/corkgauge/accounting/json_text.py
+++ b/corkgauge/accounting/json_text.py
@@ -6,7 +6,7 @@
 
 from corkgauge.accounting.snapshot import Snapshot
 
-CHUNK_BYTES = 32_768
+CHUNK_BYTES = 16_384  # a few milliseconds of rendering
 
 
 def join_chunks(chunks: Iterable[bytes]) -> Iterator[bytes]:
