A voter makes room for new lease names, and keeps no vote for a probe

Callers saw: after 64 lease names, also such as were only asked about, no new lease was ever granted.

Cause: a voter kept a vote for each name for good, and made one for each probe. A probe makes none now, and a full voter forgets the vote that was idle longest, once nothing from before can bind it: after the time for which a restarted voter without stored votes is silent. Shown on the object, not with processes.

test_voter_bounds_number_of_leases filled the voter with probes, which keep no votes any more; it does so with prepare requests, with the same bound and counts.

--- a/corkgauge/leases/voter.py
+++ b/corkgauge/leases/voter.py
@@ -47,10 +47,11 @@
 
     `granted_ballot` is 0 if nothing is granted. `unstored_request` is the latest request for the
     grant while the grant is not on disk, None otherwise. Times are ticks (tenths of a millisecond)
-    since boot.
+    since boot. `asked_at` is the tick of the last request that could change the vote.
     """
 
     __slots__ = (
+        "asked_at",
         "granted_ballot",
         "granted_since",
         "granted_until",
@@ -71,6 +72,7 @@
         self.holder = holder
         self.granted_until = granted_until
         self.granted_since = 0
+        self.asked_at = 0
         self.unstored_request: GrantRequest | None = None
 
     def encode(self) -> list[Any]:
@@ -109,9 +111,9 @@
             # The grant time is not stored. Counting the lease as granted now prevents an early
             # grant to another candidate.
             granted_until = now + timing.silence_ticks if granted_ballot else 0
-            self.votes[lease] = Vote(
-                promised_ballot, granted_ballot, Holder(holder, incarnation), granted_until
-            )
+            vote = Vote(promised_ballot, granted_ballot, Holder(holder, incarnation), granted_until)
+            vote.asked_at = now
+            self.votes[lease] = vote
         self._handlers: dict[type[CandidateRequest], Callable[..., None]] = {
             Probe: Voter._on_probe,
             Prepare: Voter._on_prepare,
@@ -150,7 +152,7 @@
         if not self._can_answer(envelope):
             return
         request = messages.decode_request(body)
-        vote = self._get_or_create_vote(request.lease)
+        vote = self._find_vote(request)
         if vote is not None:
             handler = self._handlers[type(request)]
             handler(self, Holder(sender, incarnation), vote, request)
@@ -178,16 +180,36 @@
             return False
         return True
 
-    def _get_or_create_vote(self, lease: str) -> Vote | None:
-        vote = self.votes.get(lease)
+    def _find_vote(self, request: CandidateRequest) -> Vote | None:
+        """Return the vote for the request's lease; None if there is no room for a new one."""
+        vote = self.votes.get(request.lease)
+        if isinstance(request, Probe):
+            return vote or Vote()  # a probe changes no vote, so none is kept for it
         if vote is None:
             # Bound the memory used if candidates send arbitrarily many lease names.
-            if len(self.votes) >= MAX_LEASES:
+            if len(self.votes) >= MAX_LEASES and not self._forget_idle_vote():
                 self.counts["too many duties"] += 1
                 return None
-            vote = self.votes[lease] = Vote()
+            vote = self.votes[request.lease] = Vote()
+        vote.asked_at = self.host.now
         return vote
 
+    def _forget_idle_vote(self) -> bool:
+        """Forget the vote that was asked for least recently; return whether it was safe.
+
+        It is safe after the time for which a restarted voter without stored votes is silent: no
+        grant or promise from before is valid then.
+        """
+        lease = min(self.votes, key=lambda each: self.votes[each].asked_at)
+        vote = self.votes[lease]
+        idle_since = max(vote.asked_at, vote.granted_until)
+        if vote.unstored_request is not None or self.host.now < (
+            idle_since + self.timing.silence_ticks
+        ):
+            return False
+        del self.votes[lease]
+        return True
+
     def _blocked_ticks(self, vote: Vote, candidate: Holder) -> int:
         """Return the remaining ticks of a grant to another candidate, or 0 if there is none."""
         if vote.granted_ballot and vote.holder != candidate:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -234,13 +234,40 @@
     assert all(vote.encode() == [0, 0, "", 0] for vote in voter.votes.values()) and not host.sent
 
 
+def prepare(voter, lease):
+    voter.on_datagram("a", 1, [MessageKind.PREPARE, lease, 1, CONFIGURATION.fingerprint, 1, 7])
+
+
 def test_voter_bounds_number_of_leases():
     _host, voter = make_voter()
     for n in range(300):
-        voter.on_datagram("a", 1, [MessageKind.PROBE, f"d{n}", 1, CONFIGURATION.fingerprint, 1, 0])
+        prepare(voter, f"d{n}")
     assert len(voter.votes) == 64 and voter.counts["too many duties"] == 236
 
 
+def test_voter_keeps_no_vote_for_a_probe_but_answers_it():
+    """Guards against lease names that are only asked about, and shut out all later leases."""
+    host, voter = make_voter()
+    for n in range(300):
+        voter.on_datagram("a", 1, [MessageKind.PROBE, f"d{n}", 1, CONFIGURATION.fingerprint, 1, 0])
+    assert not voter.votes and len(host.sent) == 300
+
+
+def test_voter_makes_room_for_a_new_lease_once_an_old_vote_binds_nobody():
+    """Guards against a fleet that grants no new lease for good after its 64th lease name."""
+    host, voter = make_voter()
+    for n in range(64):
+        prepare(voter, f"d{n}")
+    host.now += TIMING.silence_ticks - 1
+    prepare(voter, "early")
+    assert "early" not in voter.votes
+    host.now += 1
+    prepare(voter, "d0")  # in use, so it is kept
+    prepare(voter, "new")
+    assert "new" in voter.votes and "d0" in voter.votes and "d1" not in voter.votes
+    assert len(voter.votes) == 64
+
+
 def test_configuration_change_is_accepted_only_if_safe():
     current = VoterConfiguration(1, "abc", 5)
     reported_by_all = {name: (1, current.fingerprint) for name in "abc"}
