A control feed at full speed no longer holds up requests

Callers saw: while a feed sent empty data lines, 83 of 111 requests were refused, answers took 1.16 s.

Cause: each line of an event summed the sizes of all before it, and empty ones never reached the limit; and a task read on in its turn whatever the first read had cost. The size is counted on, a byte a line, and a task that has taken 5 ms reads no further in its turn.

--- a/corkgauge/eventloop/connection.py
+++ b/corkgauge/eventloop/connection.py
@@ -18,6 +18,8 @@
 
 MAX_CONSECUTIVE_READS = 2  # reads of one task before other tasks run
 MAX_READ_BYTES = 16_384  # size limit of one read
+# No further read follows once a task has taken this time: all other tasks wait meanwhile.
+MAX_READING_TICKS = 50
 # Longest time for which a client's frame waits for memory; then it is refused. A request that has
 # expired meanwhile still gets that answer within the half second that the platform allows.
 MAX_MEMORY_WAIT_TICKS = 5_000
@@ -288,6 +290,8 @@
             self._parse_input()
             if self.close_reason or self.unread_input.is_drained:
                 return
+            if self.event_loop.clock() > self.last_read_at + MAX_READING_TICKS:
+                return
 
     def arrival_time(self) -> ArrivalTime:
         """Return when the frame that has been read last may have arrived whole."""
--- a/corkgauge/net/discovery_protocol.py
+++ b/corkgauge/net/discovery_protocol.py
@@ -55,6 +55,7 @@
         self._partial_line = bytearray()
         self._event_number = ""
         self._event_data: list[str] = []
+        self._event_bytes = 0  # of `_event_data`, with a line feed for each line
 
     def parse_input(self) -> str:
         """Handle all received bytes; return what is wrong with them, or an empty string."""
@@ -139,7 +140,9 @@
             self._event_number = value
         elif name == "data":
             self._event_data.append(value)
-            if sum(map(len, self._event_data)) > MAX_LINE_BYTES:
+            # Empty lines count too: without end, they would take memory and processor time.
+            self._event_bytes += len(value) + 1
+            if self._event_bytes > MAX_LINE_BYTES:
                 return "event exceeds 1,048,576 bytes"
         return ""
 
@@ -148,4 +151,5 @@
         data = self._event_data
         self._event_number = ""
         self._event_data = []
+        self._event_bytes = 0
         return self.owner.on_event(number, "\n".join(data)) if data else ""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,7 +15,7 @@
 from corkgauge.eventloop.dial import dial
 from corkgauge.eventloop.loop import EventLoop
 from corkgauge.eventloop.memory_budget import MemoryBudget
-from corkgauge.eventloop.ring_buffer import RingBuffer
+from corkgauge.eventloop.ring_buffer import INITIAL_BYTES, RingBuffer
 from corkgauge.net import client_connection as client_connection_module
 from corkgauge.net import discovery_protocol
 from corkgauge.net.client_protocol import ClientProtocol
@@ -32,6 +32,7 @@
     request_id,
 )
 
+READY_CHECK_FRAME = bytes.fromhex("05000000100a000000")
 MEMORY_LIMIT_BYTES, RESULT_ROW = 10**7, "a\t\t\n"
 FIRST_REQUEST_ID, OTHER_REQUEST_ID = request_id(1), request_id(99)
 
@@ -157,6 +158,37 @@
     assert (len(calls), bool(error)) == ((1, False) if is_valid else (0, True))
 
 
+def test_event_of_endless_empty_lines_is_rejected(monkeypatch):
+    """Guards against a feed whose empty data lines held up all requests and took memory."""
+    monkeypatch.setattr(discovery_protocol, "MAX_LINE_BYTES", 3_000)
+    owner = RecordingOwner()
+    protocol = discovery_protocol.DiscoveryProtocol(owner, MemoryBudget(MEMORY_LIMIT_BYTES))
+    assert protocol.inward.put(b"HTTP/1.1 200 OK\r\n\r\n") and not protocol.parse_input()
+    assert protocol.inward.put(b"data:\n" * 600) and not protocol.parse_input()
+    for _ in range(5):
+        assert protocol.inward.put(b"data:\n" * 600)
+        problem = protocol.parse_input()
+    assert problem == "event exceeds 1,048,576 bytes"
+
+
+def test_input_that_takes_long_to_handle_is_read_in_several_turns(monkeypatch):
+    """Guards against one peer at full speed that holds up the tasks of all others."""
+    harness = HostHarness()
+    client = harness.connect_client()
+    (client_connection,) = harness.socket_host.client_connections
+    handled = []
+
+    def handle_slowly(stream):
+        handled.append(stream)
+        harness.time += 1
+        return ""
+
+    monkeypatch.setattr(client_connection, "on_ready_check", handle_slowly)
+    client.sendall(READY_CHECK_FRAME * 3_600)
+    harness.turn(2)
+    assert len(handled) == INITIAL_BYTES // len(READY_CHECK_FRAME)
+
+
 @pytest.mark.parametrize(
     "statement, group",
     [
