The pause for readers of the accounts counts rendering alone, and is bounded

A reader that kept a chunk waiting for seconds was followed by a pause of three times that for each reader, up to 60 s, in which it held a place that nobody could take. Found in reading. Both tests fail on the code before: one on the pause, one as there was no bound.

--- a/corkgauge/accounting/http_listener.py
+++ b/corkgauge/accounting/http_listener.py
@@ -38,6 +38,7 @@
 MAX_WAIT_IN_PLACE_TICKS = SECOND // 4
 PLACE_CHECK_TICKS = 100
 PAUSE_FACTOR = 3  # pause after a step, as a multiple of its time, for each reader
+MAX_PAUSE_TICKS = SECOND // 4  # after a standstill of the process a step seems long
 MAX_PROBLEM_CHARACTERS = 200
 SOCKET_MODE = 0o660
 JSON_TYPE = "application/json"
@@ -173,24 +174,30 @@
         request = self._read_request(sock, connection, timeout_ticks)
         if request is None:
             return False
+        step_began_at = self.event_loop.clock()
         response = self._build_response(request)
+        chunks = iter(join_chunks(response.body))
+        chunk = next(chunks, None)
         headers = [("Content-Type", response.content_type), ("Transfer-Encoding", "chunked")]
+        step_ticks = self.event_loop.clock() - step_began_at
         self._send(sock, connection, h11.Response(status_code=response.status, headers=headers))
-        step_began_at = self.event_loop.clock()
-        for chunk in join_chunks(response.body):
+        while chunk is not None:
             self._send(sock, connection, h11.Data(data=chunk))
-            self._pause(step_began_at)
+            self._pause(step_ticks)
             step_began_at = self.event_loop.clock()
+            chunk = next(chunks, None)
+            step_ticks = self.event_loop.clock() - step_began_at
         self._send(sock, connection, h11.EndOfMessage())
         return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
-    def _pause(self, step_began_at: int) -> None:
-        """Let other tasks run after a step, for longer the more readers there are.
+    def _pause(self, step_ticks: int) -> None:
+        """Let other tasks run after a step of this length, for longer the more readers there are.
 
-        Readers that ask again and again would otherwise take the processor from requests.
+        Readers that ask again and again would otherwise take the processor from requests. The time
+        for which a reader kept the step waiting is no part of it.
         """
-        step_ticks = self.event_loop.clock() - step_began_at
-        self.event_loop.sleep(max(PAUSE_FACTOR * self.reader_count * step_ticks, 1))
+        pause_ticks = PAUSE_FACTOR * self.reader_count * step_ticks
+        self.event_loop.sleep(min(max(pause_ticks, 1), MAX_PAUSE_TICKS))
 
     def _wait(self, sock: socket.socket, mask: int, since: int, deadline: int) -> int:
         """Wait for a reader, which keeps its place waiting since a tick; return 0 to end it."""
--- a/tests/test_accounting.py
+++ b/tests/test_accounting.py
@@ -728,6 +728,36 @@
     assert service.http_listener is not None and sleeps == [3 * 10] * 4
 
 
+def test_pause_after_a_step_does_not_count_the_time_that_the_reader_took(tmp_path, monkeypatch):
+    """Guards against a slow reader that holds its place in a pause of many times its delay."""
+    harness = HostHarness()
+    path = tmp_path / "sock"
+    service = start_accounting_service(harness, path)
+    monkeypatch.setattr(http_listener, "join_chunks", lambda chunks: [b"x"])
+    original_send = service.http_listener._send
+
+    def send_slowly(*arguments):
+        harness.time += 4 * SECOND
+        original_send(*arguments)
+
+    monkeypatch.setattr(service.http_listener, "_send", send_slowly)
+    sleeps = []
+    monkeypatch.setattr(harness.event_loop, "sleep", sleeps.append)
+    send_http_request(harness, path, http_request("/figures"))
+    assert sleeps == [1]
+
+
+def test_pause_after_a_standstill_is_bounded(tmp_path, monkeypatch):
+    """Guards against a reader that keeps its place for long, as the process stood still."""
+    harness = HostHarness()
+    service = start_accounting_service(harness, tmp_path / "sock")
+    sleeps = []
+    monkeypatch.setattr(harness.event_loop, "sleep", sleeps.append)
+    service.http_listener.reader_count = 4
+    service.http_listener._pause(2 * SECOND)
+    assert sleeps == [http_listener.MAX_PAUSE_TICKS]
+
+
 def test_listener_moves_on_reload_and_replaces_only_dead_sockets(tmp_path):
     harness = HostHarness()
     first, second = tmp_path / "one", tmp_path / "two"
