Discovery that answers late, slowly or in pieces is heard

Cause: the watch had one connection, and the limits that find a dead one (dial 1 s, silence 1.5 s, line 3 s) ended each slow one too. The next began anew, so it was never heard.

Change: at the same limits another connection is opened beside the stalled one, which stays open. The first that passes on an event remains. Eight connections at most; of a long list two copies at most. An established connection that falls silent is closed after 1.5 s, as before.

--- a/corkgauge/net/discovery.py
+++ b/corkgauge/net/discovery.py
@@ -1,24 +1,35 @@
 """Watches endpoint discovery: stays connected, and resumes after the last event that was applied.
 
-Owns the connection to one discovery address, until the address changes. The host applies the
+Owns the connections to one discovery address, until the address changes. The host applies the
 events.
+
+While a connection makes no progress, further ones are opened beside it, and it stays open: a server
+that answers late would never be heard if each connection ended before its answer. Each asks for
+what follows the last event that was applied, and events that come twice are applied once. The first
+that passes on an event remains, and the others are closed.
 """
 
 from typing import Any
 
-from corkgauge.eventloop.connection import StreamConnection
 from corkgauge.eventloop.dial import dial
 from corkgauge.eventloop.loop import SECOND
-from corkgauge.net import discovery_protocol
+from corkgauge.net.discovery_stream import (
+    MAX_SILENCE_TICKS,
+    NOTIFICATION_TICKS,
+    DiscoveryStream,
+)
 
 # Pauses between two dials of an address that refuses or drops the connection.
 MIN_BACKOFF_TICKS = SECOND // 20
 MAX_BACKOFF_TICKS = SECOND // 2
-MAX_SILENCE_TICKS = 15_000  # without a byte; the server sends a comment each second
-# Time limit for one line, and for the status and headers before the first line. The platform treats
-# a gateway as informed of a change 7 s after the announcement, so the limit has to be shorter.
-MAX_LINE_TICKS = 30_000
-CHECK_INTERVAL_TICKS = MAX_SILENCE_TICKS // 8  # between two checks of the connection
+CHECK_INTERVAL_TICKS = MAX_SILENCE_TICKS // 8  # between two checks of the connections
+# Further ones are opened a second apart, so each has the time in which the platform expects a
+# change to be known.
+MAX_STREAM_COUNT = 8
+MAX_BULK_STREAM_COUNT = 2  # that receive copies of the same long list
+# Time without a complete line after which even the oldest connection is closed.
+MAX_PATIENCE_TICKS = 30 * SECOND
+DROPPED = "another connection to discovery is ahead"
 
 
 class DiscoveryWatch:
@@ -27,109 +38,142 @@
     def __init__(self, socket_host: Any, address: tuple[str, int]) -> None:
         self.socket_host = socket_host
         self.address = address
-        self.link: StreamConnection | None = None
-        self.backoff_ticks = 0  # pause before the next dial
+        self.streams: list[DiscoveryStream] = []  # open ones and pending dials, oldest first
+        self.backoff_ticks = 0  # pause before the next dial after a loss
+        self.is_dial_due = False  # a dial is scheduled
         self.is_lost = False  # from a logged loss of the connection until the next event
         self.is_replaced = False  # another address has replaced this one
 
     def run(self) -> None:
         """Connect, and reconnect until the loop stops or the address changes; runs as a task."""
-        event_loop = self.socket_host.event_loop
-        while not (event_loop.stopped or self.is_replaced):
-            started_at = event_loop.now
-            sock, why = dial(event_loop, self.address, SECOND)
-            if self.is_replaced:
-                if sock is not None:
-                    sock.close()
-                return
-            if sock is not None:
-                why = self._watch_connection(sock)
-            if not (self.is_lost or self.is_replaced):
-                self.is_lost = True
-                self.socket_host.log(f"feed lost: {why}")
-            self._back_off(event_loop.now - started_at)
-
-    def _watch_connection(self, sock: Any) -> str:
-        """Read events until the connection closes; return why it closed."""
-        event_loop = self.socket_host.event_loop
-        protocol = discovery_protocol.DiscoveryProtocol(self, self.socket_host.server_ring_memory)
-        link = self.link = StreamConnection(event_loop, sock, protocol, self)
-        host = f"{self.address[0]}:{self.address[1]}"
-        link.send(discovery_protocol.request(host, self.socket_host.last_event))
-        self.check_alive(link)
-        # Where one poll reports events of the list and requests, as after a standstill, no request
-        # may go to an engine of which the list says by then that it drains.
-        fd = link.fd
-        event_loop.set_priority(fd, True)
-        link.run()
-        event_loop.set_priority(fd, False)
-        why: str = link.close_reason
-        return why
-
-    def _back_off(self, lasted_ticks: int) -> None:
-        """Wait before the next dial, if earlier dials or connections failed soon.
-
-        The fleet acts on announced changes soon, even if this gateway has not received them. So the
-        first dial after a loss follows at once. The pause before each further dial doubles, from
-        `MIN_BACKOFF_TICKS` to `MAX_BACKOFF_TICKS`. The pause is reset by an event, and if the dial
-        and its connection lasted for more than a second (`lasted_ticks`).
-        """
-        if lasted_ticks > SECOND:
-            self.backoff_ticks = 0
-        if self.backoff_ticks and not self.is_replaced:
-            self.socket_host.event_loop.sleep(self.backoff_ticks)
-        self.backoff_ticks = min(max(2 * self.backoff_ticks, MIN_BACKOFF_TICKS), MAX_BACKOFF_TICKS)
+        self._check_streams()
+        self._run_stream()
 
     def leave(self) -> None:
         """End the watch, as another discovery address has been configured."""
         self.is_replaced = True
-        if self.link is not None:
-            self.link.close("replaced by another discovery address")
+        for stream in [*self.streams]:
+            self._drop(stream, "replaced by another discovery address")
 
-    def on_event(self, number: str, data: str) -> str:
+    def on_stream_event(self, stream: DiscoveryStream, number: str, data: str) -> str:
         """Pass one event to the host; return why the event is invalid, or an empty string."""
         self.backoff_ticks = 0
         if self.is_lost:
             self.is_lost = False
             self.socket_host.log(f"feed back at {self.socket_host.last_event}")
         wrong: str = self.socket_host.on_discovery_event(number, data)
+        if not wrong:
+            self._keep_only(stream)
         return wrong
 
-    def check_alive(
-        self, link: StreamConnection, known_lines: int = -1, line_since: int = 0
-    ) -> None:
-        """Close a connection that is silent or never completes a line; called again by timer.
+    def _is_over(self) -> bool:
+        return bool(self.socket_host.event_loop.stopped or self.is_replaced)
 
-        A server that hangs keeps its connection open. The server sends a comment each second, so
-        after 1.5 s without a byte the connection is closed. A server that sends single bytes, or no
-        complete status line, is never silent, so the time for each line is limited as well.
+    def _is_served(self) -> bool:
+        """Return whether an established stream makes progress, so that no other is needed."""
+        return any(each.is_established and not each.stall_reason() for each in self.streams)
 
-        Args:
-            link: The connection.
-            known_lines: Number of complete lines at the last check.
-            line_since: Tick of the check that found the last complete line.
-        """
-        if link is not self.link or link.close_reason:
+    def _run_stream(self) -> None:
+        """Dial, and read events until the connection closes; runs as a task."""
+        self.is_dial_due = False
+        if self._is_over() or self._is_served():
             return
-        now = self.socket_host.now
-        if link.machine.complete_frame_count != known_lines:
-            known_lines = link.machine.complete_frame_count
-            line_since = now
-        wrong = ""
-        if now - link.last_read_at > MAX_SILENCE_TICKS:
-            wrong = "no byte received for 1.5 s"
-        elif now - line_since > MAX_LINE_TICKS:
-            wrong = "no complete line received for 3 s"
-        # What has arrived and was not read yet, as after a standstill, came in time.
-        if wrong and not link.has_unread_input():
-            link.close(wrong)
+        event_loop = self.socket_host.event_loop
+        stream = DiscoveryStream(self.socket_host, self)
+        self.streams.append(stream)
+        sock, why = dial(event_loop, self.address, NOTIFICATION_TICKS)
+        if sock is not None and stream.is_dropped:
+            sock.close()
+        elif sock is not None:
+            why = stream.run(sock, f"{self.address[0]}:{self.address[1]}")
+        self._on_stream_ended(stream, why)
+
+    def _on_stream_ended(self, stream: DiscoveryStream, why: str) -> None:
+        """Replace a stream that was the newest, or the one that events came from."""
+        if self._is_over() or stream.is_dropped:
             return
-        self.socket_host.event_loop.call_later(
-            CHECK_INTERVAL_TICKS, self.check_alive, link, known_lines, line_since
-        )
+        is_newest = stream is self.streams[-1]
+        self.streams.remove(stream)
+        self._log_loss(why)
+        if is_newest or stream.is_established:
+            self._dial_after_loss(self.socket_host.now - stream.opened_at)
 
-    def on_output_drained(self) -> None:
-        """Do nothing: after the request there is nothing more to send."""
+    def _dial_after_loss(self, lasted_ticks: int) -> None:
+        """Dial again, after a pause if earlier dials or connections failed soon.
 
-    def on_closed(self, reason: str) -> None:
-        """Do nothing: `run` reconnects after the connection has closed."""
+        The fleet acts on announced changes soon, even if this gateway has not received them. So the
+        first dial after a loss follows at once. The pause before each further dial doubles, from
+        `MIN_BACKOFF_TICKS` to `MAX_BACKOFF_TICKS`. The pause is reset by an event, and if the dial
+        and its connection lasted for more than a second (`lasted_ticks`).
+        """
+        if lasted_ticks > SECOND:
+            self.backoff_ticks = 0
+        pause_ticks = self.backoff_ticks
+        self.backoff_ticks = min(max(2 * self.backoff_ticks, MIN_BACKOFF_TICKS), MAX_BACKOFF_TICKS)
+        if self.is_dial_due:
+            return
+        self.is_dial_due = True
+        if pause_ticks:
+            self.socket_host.event_loop.call_later(pause_ticks, self._spawn_stream)
+        else:
+            self._spawn_stream()
+
+    def _spawn_stream(self) -> None:
+        self.socket_host.event_loop.spawn(self._run_stream)
+
+    def _check_streams(self) -> None:
+        """Close dead streams, and open one beside those that stall; called again by timer."""
+        if self._is_over():
+            return
+        for stream in self.streams:
+            stream.observe()
+        self._close_dead_streams()
+        live = [each for each in self.streams if not each.stall_reason()]
+        established = next((each for each in live if each.is_established), None)
+        if established is not None:
+            self._keep_only(established)
+        elif not live and self.streams and not self.is_dial_due:
+            self._open_beside()
+        self.socket_host.event_loop.call_later(CHECK_INTERVAL_TICKS, self._check_streams)
+
+    def _close_dead_streams(self) -> None:
+        """Close streams of which nothing more is expected.
+
+        An established stream was told to be alive each second, and has nothing to catch up with.
+        """
+        for stream in self.streams:
+            reason = stream.stall_reason()
+            is_hopeless = stream.ticks_without_line() > MAX_PATIENCE_TICKS
+            if reason and (is_hopeless or (stream.is_established and stream.is_silent())):
+                stream.close(reason)
+
+    def _open_beside(self) -> None:
+        """Open a further stream, as all others stall."""
+        if sum(each.is_bulk() for each in self.streams) >= MAX_BULK_STREAM_COUNT:
+            return
+        newest = self.streams[-1]
+        if newest.link is not None and newest.link.close_reason:
+            return  # replaced as soon as it has ended
+        self._log_loss(newest.stall_reason())
+        self.socket_host.counters["discovery dialled beside"] += 1
+        if len(self.streams) >= MAX_STREAM_COUNT:
+            # The oldest remains, as a server may need longer than all others are kept.
+            self._drop(self.streams[1], DROPPED)
+        self.is_dial_due = True
+        self._spawn_stream()
+
+    def _keep_only(self, stream: DiscoveryStream) -> None:
+        """Close all other streams."""
+        for each in [*self.streams]:
+            if each is not stream:
+                self._drop(each, DROPPED)
+
+    def _drop(self, stream: DiscoveryStream, reason: str) -> None:
+        """Close a stream that needs no replacement."""
+        self.streams.remove(stream)
+        stream.drop(reason)
+
+    def _log_loss(self, why: str) -> None:
+        if not self.is_lost:
+            self.is_lost = True
+            self.socket_host.log(f"feed lost: {why}")
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -71,6 +71,24 @@
     assert 0 <= sent_requests - counted_requests < 60
 
 
+# A gateway gave up each connection to discovery that answered after more than 1.5 s.
+@pytest.mark.parametrize("falls_silent", [False, True], ids=["slow", "slow and silent"])
+def test_drained_engine_gets_no_request_after_seven_seconds_of_slow_discovery(falls_silent):
+    scenario = GatewayScenario(4, parse_script("at 5: list drain e1", ["e1"]), rate=40, scrapes=0)
+    scenario.feed.answer_delay_ticks = 2 * SECOND
+    if falls_silent:
+        scenario.event_loop.call_later(49 * SECOND // 10, scenario.feed.silence_connections)
+    try:
+        scenario.run(14)
+    finally:
+        scenario.close()
+    attempts = scenario.engines["e1"].attempts
+    # What discovery has to tell counts as told after 7 s; limits on sockets are 50 ms longer.
+    max_ticks = RULE_EXPECTATIONS.drain_grace_ticks + 7 * SECOND + 500
+    assert len(attempts) > 20
+    assert rules.find_drain_violations(attempts, scenario.feed.changes, max_ticks) == []
+
+
 @pytest.fixture(scope="module")
 def corruption_results():
     """Inject every corruption into a gateway process of its own, five at a time."""
