The parser of a closed connection to discovery leaves memory

Seen: with discovery that hangs, one parser a connection stayed in memory for good (38 of 38 in a simulated minute), with up to 1 MB of an unfinished line each.

Cause: the parser held bound methods of itself, a reference cycle, and automatic garbage collection is off in the serving process.

Change: it holds functions of its class. The new test failed before; nothing stays now.

--- a/corkgauge/net/discovery_protocol.py
+++ b/corkgauge/net/discovery_protocol.py
@@ -47,9 +47,10 @@
         self.inward = RingBuffer(MAX_UNREAD_BYTES, memory_budget)
         self.outward = RingBuffer(REQUEST_BYTES, memory_budget)
         # Reads the next bytes: a line of the HTTP response, which is passed to `_on_line`, or part
-        # of the event stream.
-        self._read: Callable[[], str] = self._read_line
-        self._on_line: Callable[[bytes], str] = self._on_status
+        # of the event stream. Both are functions of the class, as automatic garbage collection is
+        # off: a bound method would keep this object, and what it has received, for good.
+        self._read: Callable[[DiscoveryProtocol], str] = DiscoveryProtocol._read_line
+        self._on_line: Callable[[DiscoveryProtocol, bytes], str] = DiscoveryProtocol._on_status
         self._is_chunked = False
         self._chunk_bytes_left = 0
         self._partial_line = bytearray()
@@ -59,7 +60,7 @@
 
     def parse_input(self) -> str:
         """Handle all received bytes; return what is wrong with them, or an empty string."""
-        while (wrong := self._read()) == "":
+        while (wrong := self._read(self)) == "":
             pass
         return "" if wrong == NEED_MORE else wrong
 
@@ -67,7 +68,7 @@
         data = self.inward.peek(len(self.inward))
         end = data.find(b"\n")
         if end >= 0:
-            return self._on_line(self.inward.take(end + 1).rstrip(b"\r\n"))
+            return self._on_line(self, self.inward.take(end + 1).rstrip(b"\r\n"))
         if len(self.inward) >= MAX_HEADER_LINE_BYTES:
             return "line of the HTTP response exceeds 16,384 bytes"
         self.inward.reserve(2 * len(self.inward))
@@ -77,14 +78,14 @@
         parts = line.split()
         if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or parts[1] != b"200":
             return f"expected HTTP status 200, found {line[:40]!r}"
-        self._on_line = self._on_header
+        self._on_line = DiscoveryProtocol._on_header
         return ""
 
     def _on_header(self, line: bytes) -> str:
         if not line and self._is_chunked:
-            self._on_line = self._on_chunk_size
+            self._on_line = DiscoveryProtocol._on_chunk_size
         elif not line:
-            self._read = self._read_plain
+            self._read = DiscoveryProtocol._read_plain
         elif line.lower().startswith(b"transfer-encoding:") and b"chunked" in line.lower():
             self._is_chunked = True
         return ""
@@ -98,7 +99,7 @@
             return f"expected a chunk size in hexadecimal, found {line[:20]!r}"
         if self._chunk_bytes_left <= 0:
             return "server ended the event stream"
-        self._read = self._read_chunk
+        self._read = DiscoveryProtocol._read_chunk
         return ""
 
     def _read_chunk(self) -> str:
@@ -107,7 +108,7 @@
         data = self.inward.take(min(self._chunk_bytes_left, len(self.inward)))
         self._chunk_bytes_left -= len(data)
         if not self._chunk_bytes_left:
-            self._read = self._read_line
+            self._read = DiscoveryProtocol._read_line
         return self._on_stream(data)
 
     def _read_plain(self) -> str:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,10 +3,13 @@
 The clock is simulated, and the connections are TCP connections over loopback.
 """
 
+import gc
 import json
+import weakref
 
 import pytest
 
+from corkgauge.net import discovery_protocol
 from corkgauge.net.discovery import CHECK_INTERVAL_TICKS, MAX_STREAM_COUNT, DiscoveryWatch
 from corkgauge.net.discovery_stream import MAX_SILENCE_TICKS
 from corkgauge.policy.records import EngineState
@@ -247,6 +250,27 @@
     assert discovery.open_count == 1
 
 
+# With automatic garbage collection off, the parser of each connection stayed in memory for good.
+def test_closed_connections_leave_nothing_in_memory(monkeypatch):
+    parsers = []
+
+    class TrackedProtocol(discovery_protocol.DiscoveryProtocol):
+        def __init__(self, *arguments):
+            super().__init__(*arguments)
+            parsers.append(weakref.ref(self))
+
+    monkeypatch.setattr(discovery_protocol, "DiscoveryProtocol", TrackedProtocol)
+    discovery = SlowDiscovery(monkeypatch, head_after=NEVER_TICKS)
+    gc.disable()
+    try:
+        discovery.pass_time(60 * SECOND)
+        kept_count = sum(parser() is not None for parser in parsers)
+    finally:
+        gc.enable()
+    assert len(parsers) > 30
+    assert kept_count <= MAX_STREAM_COUNT
+
+
 def test_connection_that_answers_after_more_than_all_others_are_kept_is_heard(monkeypatch):
     discovery = SlowDiscovery(monkeypatch, head_after=20 * SECOND)
     discovery.announce_drain()
