An engine whose connections come up late is connected to

Callers saw: with an engine that takes 400 ms to accept each connection (dial timeout 250 ms) none of 20 requests was served.

Cause: the dial ended with the time for which an attempt waits for it, and the next began anew.

Change: attempts fail after the dial timeout as before; one dial to each engine goes on for 2 s, in all an eighth of the connections to engines at most, and serves later attempts.

Evidence: the test failed at 400 ms and 1.5 s before (0 of 20 served), and passes now (14 or more).

--- a/corkgauge/net/engine_pool.py
+++ b/corkgauge/net/engine_pool.py
@@ -4,6 +4,7 @@
 which engine gets a request.
 """
 
+from dataclasses import dataclass
 from typing import Any
 
 from corkgauge.eventloop.dial import dial
@@ -17,10 +18,28 @@
 # share a connection.
 MAX_SPREAD_CONNECTION_COUNT = 6
 HOLD_TICKS = 100  # until an attempt that was held back is looked at again
+# Longest time for which a dial goes on once the attempts that waited for it have failed. An engine
+# that takes longer than the dial timeout to accept each connection would never be connected to.
+MAX_DIAL_TICKS = 2 * SECOND
+# Such dials of all engines take one part in so many of the connections to engines.
+PATIENT_DIALS_DIVISOR = 8
 # Errors of a dial that are due to a lack of resources on this machine, not to the engine.
 OWN_SHORTAGE_ERRORS = {"EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"}
 
 
+@dataclass(slots=True)
+class PendingDial:
+    """A dial in progress to the engine's process of one `address_generation`.
+
+    A patient dial may go on after the dial timeout, and is late from then on.
+    """
+
+    address_generation: int
+    is_patient: bool
+    is_late: bool = False
+    is_finished: bool = False
+
+
 class EnginePool:
     """One engine's address, its connections, and the attempts that wait for a connection."""
 
@@ -28,6 +47,7 @@
         "address",
         "address_generation",
         "engine",
+        "has_patient_dial",
         "is_dialling",
         "is_fill_due",
         "is_filling",
@@ -50,7 +70,8 @@
         self.links: list[EngineConnection] = []
         # A list, as a deque takes 760 bytes even for an engine that never gets an attempt.
         self.waiting: list[InFlightAttempt] = []
-        self.is_dialling = False  # a dial is in progress, at most one at a time
+        self.is_dialling = False  # a dial that is not late is in progress, at most one at a time
+        self.has_patient_dial = False
         self.next_spare_dial_at = 0  # earliest tick of the next dial ahead of need
         self.started_ms = 0  # start date of the engine's process, from the endpoint list
         # Incremented with each new process or address of the engine; a dial that began under an
@@ -208,36 +229,81 @@
 
     def dial(self, address: tuple[str, int]) -> None:
         """Connect to the engine and add the connection to the pool; runs as a task."""
-        address_generation = self.address_generation
-        sock, why = dial(
-            self.socket_host.event_loop, address, self.socket_host.settings.dial_timeout_ticks
+        socket_host = self.socket_host
+        pending = self._begin_dial()
+        timeout_ticks = socket_host.settings.dial_timeout_ticks
+        if pending.is_patient:
+            socket_host.event_loop.call_later(timeout_ticks, self._on_dial_overdue, pending)
+            timeout_ticks = max(timeout_ticks, MAX_DIAL_TICKS)
+        sock, why = dial(socket_host.event_loop, address, timeout_ticks)
+        self._end_dial(pending)
+        if sock is not None:
+            self._on_dialled(pending, sock)
+        elif why in OWN_SHORTAGE_ERRORS:
+            socket_host.make_room()
+            self._wait_for_descriptor()
+            return
+        elif not pending.is_late:
+            self._on_unreached(pending)
+        self.fill()
+
+    def _begin_dial(self) -> PendingDial:
+        socket_host = self.socket_host
+        max_patient_dials = socket_host.max_engine_links // PATIENT_DIALS_DIVISOR
+        is_patient = (
+            not self.has_patient_dial and socket_host.patient_dial_count < max_patient_dials
         )
-        self.is_dialling = False
+        if is_patient:
+            self.has_patient_dial = True
+            socket_host.patient_dial_count += 1
+        return PendingDial(self.address_generation, is_patient)
+
+    def _end_dial(self, pending: PendingDial) -> None:
+        pending.is_finished = True
+        if pending.is_patient:
+            self.has_patient_dial = False
+            self.socket_host.patient_dial_count -= 1
+        if not pending.is_late:
+            self.is_dialling = False
         self.socket_host.dials_in_progress -= 1
         self.socket_host.counters["dialled"] += 1
-        if why in OWN_SHORTAGE_ERRORS:
-            self.socket_host.make_room()
-            self._wait_for_descriptor()
+
+    def _on_dial_overdue(self, pending: PendingDial) -> None:
+        """Fail the attempts that wait for a dial, which goes on for later ones."""
+        if pending.is_finished:
             return
+        pending.is_late = True
+        self.is_dialling = False
+        self._on_unreached(pending)
+        self.fill()
+
+    def _on_unreached(self, pending: PendingDial) -> None:
         self.lacks_resource = False
-        if sock is None:
-            self.socket_host.counters["unreached"] += 1
-            # Without this pause an engine that accepts no connection would be dialled in a loop.
-            self.next_spare_dial_at = self.socket_host.now + SECOND
-            if address_generation == self.address_generation:
-                self._fail_waiting("unreached")
+        self.socket_host.counters["unreached"] += 1
+        # Without this pause an engine that accepts no connection would be dialled in a loop.
+        self.next_spare_dial_at = self.socket_host.now + SECOND
         # A dial that began before the engine changed its address or restarted says nothing about
         # the engine's current process, whether the dial succeeded or not.
-        elif (
-            address_generation != self.address_generation or self.engine.state != EngineState.READY
-        ):
+        if pending.address_generation == self.address_generation:
+            self._fail_waiting("unreached")
+
+    def _on_dialled(self, pending: PendingDial, sock: Any) -> None:
+        self.lacks_resource = False
+        is_usable = (
+            pending.address_generation == self.address_generation
+            and self.engine.state == EngineState.READY
+        )
+        if pending.is_late:
+            self.socket_host.counters["dialled late"] += 1
+            max_links = self.socket_host.max_links_per_engine()
+            is_usable = is_usable and len(self.links) < max_links
+        if not is_usable:
             sock.close()
-        else:
-            link = EngineConnection(self, sock)
-            self.links.append(link)
-            self.socket_host.event_loop.spawn(link.link.run)
-            link.check_idle()
-        self.fill()
+            return
+        link = EngineConnection(self, sock)
+        self.links.append(link)
+        self.socket_host.event_loop.spawn(link.link.run)
+        link.check_idle()
 
     def update_address(self, address: tuple[str, int], has_restarted: bool) -> None:
         """Set the address from the endpoint list; `has_restarted` means a new engine process.
