A long answer that arrives slowly is received

Callers saw: a page of 6,000 bytes from an engine at 10 KB a second ended the connection, and with it every attempt on it; the next try had the same end.

Cause: an answer had 0.3 s from its first byte to its last, whatever arrived meanwhile.

Change: the limit holds for each 1,024 bytes, in a class of its own (eventloop/frame_time_limit.py).

--- a/corkgauge/eventloop/connection.py
+++ b/corkgauge/eventloop/connection.py
@@ -12,6 +12,7 @@
 
 from corkgauge.eventloop.arrival import ArrivalTime, UnreadInput
 from corkgauge.eventloop.dismissal import Dismissal
+from corkgauge.eventloop.frame_time_limit import FrameTimeLimit
 from corkgauge.eventloop.hidden_end import HiddenEnd
 from corkgauge.eventloop.loop import BROKEN, GONE, READ, WRITE, EventLoop
 from corkgauge.eventloop.ring_buffer import RingBuffer
@@ -53,13 +54,14 @@
 
     The owner's `on_output_drained()` is called when all queued output has been written, and its
     `on_closed(reason)` once, at the end. `frame_timeout_ticks` limits the time for receiving one
-    frame (0: no limit). The limit runs from the first byte of the frame; the limit of the first
-    frame from a client (`peer_is_client`) runs from the start of the connection. It is the peer's
-    time alone: it does not run while the connection is not read for lack of memory, and does not
-    end while input is unread. A client is informed why it is rejected: the owner's
-    `on_connection_rejected(reason)` is called first and may send the reason. A client may also be
-    dismissed, that is, rejected once it has its answers: the owner's `on_dismissed()` is called at
-    once. `is_answered()` tells whether the owner of a client's connection has queued all answers.
+    frame (0: no limit), or for each `frame_progress_bytes` of it (0: for all of it). The limit runs
+    from the first byte of the frame; the limit of the first frame from a client (`peer_is_client`)
+    runs from the start of the connection. It is the peer's time alone: it does not run while the
+    connection is not read for lack of memory, and does not end while input is unread. A client is
+    informed why it is rejected: the owner's `on_connection_rejected(reason)` is called first and
+    may send the reason. A client may also be dismissed, that is, rejected once it has its answers:
+    the owner's `on_dismissed()` is called at once. `is_answered()` tells whether the owner of a
+    client's connection has queued all answers.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         owner: Any,
         frame_timeout_ticks: int = 0,
         peer_is_client: bool = False,
+        frame_progress_bytes: int = 0,
     ) -> None:
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
@@ -91,9 +94,8 @@
         self.is_flush_scheduled = False  # `flush` is one of the loop's deferred callbacks
 
         # Time limit for one frame.
-        self.frame_timeout_ticks = frame_timeout_ticks
+        self.frame_limit = FrameTimeLimit(frame_timeout_ticks, event_loop.now, frame_progress_bytes)
         self.peer_is_client = peer_is_client
-        self.frame_timeout_since = event_loop.now
         self.paused_since = NEVER  # tick since which no input is read for lack of memory
         self.unread_input = UnreadInput(event_loop, sock)
         self.hidden_end = HiddenEnd(event_loop, sock)
@@ -150,12 +152,12 @@
         if self.paused_since != NEVER:
             return self.paused_since + MAX_MEMORY_WAIT_TICKS if self.peer_is_client else None
         if self._is_mid_frame():
-            return self.frame_timeout_since + self.frame_timeout_ticks
+            return self.frame_limit.deadline
         return None
 
     def _is_mid_frame(self) -> bool:
         """Return whether the time limit for receiving one frame is running."""
-        return bool(self.frame_timeout_ticks) and (
+        return bool(self.frame_limit.limit_ticks) and (
             self.has_partial_frame()
             or (self.peer_is_client and not self.machine.complete_frame_count)
         )
@@ -169,7 +171,7 @@
         return (
             self.paused_since == NEVER
             and self._is_mid_frame()
-            and self.event_loop.now >= self.frame_timeout_since + self.frame_timeout_ticks
+            and self.event_loop.now >= self.frame_limit.deadline
         )
 
     def _end_overdue_frame(self) -> None:
@@ -207,7 +209,7 @@
             return
         ring.stop_waiting()
         # While this program did not read, the time limit for the frame did not run.
-        self.frame_timeout_since += now - self.paused_since
+        self.frame_limit.extend(now - self.paused_since)
         self.paused_since = NEVER
         self.unread_input.on_resumed()
         if self.peer_is_client and not self.owner.is_answered():
@@ -252,7 +254,7 @@
         finally:
             self.is_parsing = False
         if count_before != self.machine.complete_frame_count:
-            self.frame_timeout_since = self.event_loop.now
+            self.frame_limit.restart(self.event_loop.now, self.bytes_received)
 
     def _event_mask(self) -> int:
         return (
@@ -285,7 +287,8 @@
             self.unread_input.is_drained = size < len(free_space)
             self.bytes_received += size
             if not self._is_mid_frame():
-                self.frame_timeout_since = self.event_loop.now
+                self.frame_limit.restart(self.event_loop.now, self.bytes_received)
+            self.frame_limit.on_bytes_received(self.event_loop.now, self.bytes_received)
             ring.mark_written(size)
             self._parse_input()
             if self.close_reason or self.unread_input.is_drained:
--- a/corkgauge/net/engine_connection.py
+++ b/corkgauge/net/engine_connection.py
@@ -20,7 +20,9 @@
 if TYPE_CHECKING:
     from corkgauge.net.engine_pool import EnginePool
 
-ANSWER_TIMEOUT_TICKS = 3_000  # from the first byte of an answer to its last
+# For each part of an answer of so many bytes, and for the rest. An answer may be as long as a page.
+ANSWER_TIMEOUT_TICKS = 3_000
+MIN_ANSWER_PROGRESS_BYTES = 1_024
 KEEPALIVE_AFTER_TICKS = 5_000  # without input on a connection with open attempts
 KEEPALIVE_TIMEOUT_TICKS = 5_000  # from a keepalive to any answer
 # An engine counts as paused if more time passes between two of its answers. With open attempts, a
@@ -63,6 +65,7 @@
             EngineProtocol(self, self.socket_host.server_ring_memory),
             self,
             ANSWER_TIMEOUT_TICKS,
+            frame_progress_bytes=MIN_ANSWER_PROGRESS_BYTES,
         )
         if self.socket_host.flow_export is not None:
             engine = engine_pool.engine
