A collector of flow records whose connections take long is reached

Operators saw: a collector to which a connection takes 4 s got nothing. Found on paths related to slow discovery.

Change: the limits double with each failure in a row, up to eight times.

--- a/corkgauge/flow_export/collector_peer.py
+++ b/corkgauge/flow_export/collector_peer.py
@@ -14,6 +14,9 @@
 MAX_WRITTEN_MESSAGES = 1024
 STALL_TIMEOUT_TICKS = 50_000  # 5 s for which a stream may accept no byte
 TICKS_PER_MS = 10
+# The limits of the next attempt to connect double with each failure, up to this many times. A
+# collector that takes longer than a fixed limit would never be connected to.
+MAX_PATIENCE_DOUBLINGS = 3
 
 
 class CollectorState(Enum):
@@ -100,6 +103,11 @@
         assert self.session is not None, f"collector {self.name} has no session"
         return self.session
 
+    @property
+    def patience(self) -> int:
+        """Factor for the time limits of an attempt to connect; grows with failed attempts."""
+        return 1 << min(self.failure_count, MAX_PATIENCE_DOUBLINGS)
+
     def is_retry_due(self, now: int) -> bool:
         """Return whether the collector is down and its backoff is over."""
         return self.state is CollectorState.DOWN and now >= self.retry_at
--- a/corkgauge/flow_export/export_buffer.py
+++ b/corkgauge/flow_export/export_buffer.py
@@ -38,7 +38,8 @@
 TICKS_PER_MS = 10
 TRIAL_TICKS = 2_000  # from the templates to the first data
 DATAGRAM_CONFIRM_TICKS = 1_000  # an ICMP error would arrive within this time
-OPEN_TIMEOUT_TICKS = 3 * TICKS_PER_SECOND  # for the TCP connection and the TLS handshake
+# For the TCP connection and the TLS handshake, times the peer's `patience`.
+OPEN_TIMEOUT_TICKS = 3 * TICKS_PER_SECOND
 FAILURE_RESET_TICKS = 30 * TICKS_PER_SECOND  # time in the state UP that clears the failure count
 STATISTICS_PERIOD_TICKS = 30 * TICKS_PER_SECOND
 MAX_MESSAGES_PER_CHECK = 6  # sending the records of minutes at once would block the event loop
@@ -230,7 +231,7 @@
             peer.state = CollectorState.OPENING
             peer.state_since = now
             self.transports.open(peer)
-        elif peer.state is CollectorState.OPENING and now > peer.state_since + OPEN_TIMEOUT_TICKS:
+        elif self._is_opening_overdue(peer, now):
             self.on_lost(peer, "connection not established before the timeout", now)
         elif peer.state is CollectorState.TRIAL and now >= peer.state_since + TRIAL_TICKS:
             peer.state = CollectorState.UP
@@ -241,6 +242,10 @@
         if peer.has_session:
             self._confirm_delivered(peer, now)
 
+    def _is_opening_overdue(self, peer: CollectorPeer, now: int) -> bool:
+        deadline = peer.state_since + peer.patience * OPEN_TIMEOUT_TICKS
+        return peer.state is CollectorState.OPENING and now > deadline
+
     def _select_active(self, now: int) -> None:
         """Select the first collector that is up.
 
--- a/tests/test_flow_export.py
+++ b/tests/test_flow_export.py
@@ -557,6 +557,7 @@
         ]
         self.reachable = {peer: True for peer in self.peers}
         self.full_peers = set()
+        self.opening_ticks = 0  # time that a connection takes
         self.pending = PendingRecords(memory_bytes)
         self.export_buffer = ExportBuffer(
             self, Layout(LayoutKind.OWN, "n1"), 7, self.peers, self.pending, seed, 0
@@ -573,6 +574,7 @@
 
     def close(self, peer):
         self.closed.append((self.now, peer))
+        self.opened = [each for each in self.opened if each[1] is not peer]
 
     def log(self, line):
         self.log_lines.append(line)
@@ -581,6 +583,8 @@
         for _ in range(duration // step):
             self.now += step
             for opened_at, peer in [*self.opened]:
+                if self.now < opened_at + self.opening_ticks:
+                    continue
                 self.opened.remove((opened_at, peer))
                 if self.reachable[peer]:
                     self.export_buffer.on_opened(peer, self.now)
@@ -693,6 +697,17 @@
     assert harness.export_buffer.totals.uncertain_octets >= 3 * 150
 
 
+# Each attempt ended after 3 s and began anew, so a slow collector was never connected to.
+@pytest.mark.parametrize("opening_seconds", [1, 4, 15])
+def test_collector_whose_connections_take_long_receives_all_octets(opening_seconds):
+    harness = BufferHarness(False)
+    harness.opening_ticks = opening_seconds * TICKS_PER_SECOND
+    harness.export_buffer.add(make_delta(1))
+    harness.run(120 * TICKS_PER_SECOND)
+    assert harness.export_buffer.totals.exported_octets == 150
+    assert harness.received_octets(harness.peers[0]) == 150
+
+
 def test_unwritten_messages_of_a_closed_stream_count_as_repeated():
     harness = BufferHarness(False)
     harness.run(TICKS_PER_SECOND)
