A long plan is fetched from a slow replica, without a flood of requests

Operators saw: with answers that take 0.4 s, a new leader of maintenance did not take over a plan of 65 KB, and the datagrams of its fetch multiplied.

Cause: the fetch was abandoned after 2 s though chunks arrived, and began with none again. Each chunk, new or not, caused a request for six.

Change: it is abandoned after 2 s without a new chunk; the next request follows once the last one is answered; the pause before a repetition doubles while nothing new arrives.

--- a/corkgauge/maintenance/chunk_transfer.py
+++ b/corkgauge/maintenance/chunk_transfer.py
@@ -13,6 +13,8 @@
 MAX_CHUNKS_PER_REQUEST = 6
 MAX_CHUNKS_PER_ANSWER = 16  # limits the answer to one request, whatever the request asks for
 MAX_CHUNKS_PER_PLAN = 2_000
+# The pause before a request is repeated doubles up to this many times the first one.
+MAX_RETRY_FACTOR = 16
 
 
 class Host(Protocol):
@@ -50,7 +52,9 @@
 
     If a chunk of a later stamp arrives, the source has changed its plan: the fetch drops the chunks
     it has and continues with the later plan. Chunks of stamps below `min_stamp` are ignored.
-    Missing chunks are requested again after `retry_ticks`.
+    Missing chunks are requested again after `retry_ticks`, and after longer pauses while no new
+    chunk arrives. A chunk that arrives again causes no request: on a network slower than the pause,
+    each answer would cause several others.
     """
 
     def __init__(
@@ -72,6 +76,8 @@
         self.count = 1
         self.chunks: dict[int, bytes] = {}
         self.is_finished = False
+        self.retry_factor = 1  # of the pause before the request is repeated
+        self.requested: set[int] = set()  # indexes of the last request
         self.request_serial = 0  # of the last request; retry timers of earlier requests do nothing
         self._request_missing()
 
@@ -83,14 +89,15 @@
             self.stamp = chunk.stamp
             self.count = chunk.count
             self.chunks = {}
+        if chunk.index in self.chunks:
+            return
+        self.retry_factor = 1
         self.chunks[chunk.index] = chunk.data
         if len(self.chunks) == self.count:
             self.is_finished = True
             packed = b"".join(self.chunks[index] for index in range(self.count))
             self.on_complete(chunk.stamp, packed)
-        # Requests the next missing chunks after the chunk with the highest index so far, and after
-        # each chunk whose index is a multiple of the number of chunks per request.
-        elif chunk.index >= max(self.chunks) or not chunk.index % MAX_CHUNKS_PER_REQUEST:
+        elif self.requested <= self.chunks.keys():
             self._request_missing()
 
     def _is_acceptable(self, sender: str, chunk: Chunk) -> bool:
@@ -112,11 +119,14 @@
         if self.is_finished:
             return
         missing = [index for index in range(self.count) if index not in self.chunks]
-        request = FetchChunks(self.fence, self.stamp, missing[:MAX_CHUNKS_PER_REQUEST])
+        self.requested = {*missing[:MAX_CHUNKS_PER_REQUEST]}
+        request = FetchChunks(self.fence, self.stamp, sorted(self.requested))
         self.request_serial += 1
         self.host.send(self.source, request.encode())
-        self.host.call_later(self.retry_ticks, self._retry, self.request_serial)
+        pause_ticks = self.retry_ticks * self.retry_factor
+        self.host.call_later(pause_ticks, self._retry, self.request_serial)
 
     def _retry(self, serial: int) -> None:
         if serial == self.request_serial:
+            self.retry_factor = min(2 * self.retry_factor, MAX_RETRY_FACTOR)
             self._request_missing()
--- a/corkgauge/maintenance/plan_proposer.py
+++ b/corkgauge/maintenance/plan_proposer.py
@@ -10,6 +10,7 @@
 leader, so no promise that forbids the step can have been lost.
 """
 
+import functools
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -33,7 +34,8 @@
 from corkgauge.maintenance.plan_replica import NO_STAMP
 
 RETRY_TICKS = 1_000  # until a request is sent again to the replicas
-MAX_FETCH_TICKS = 20 * RETRY_TICKS  # until a fetch is abandoned and all replicas are asked again
+# Without a new chunk, until a fetch is abandoned and all replicas are asked again.
+MAX_FETCH_SILENCE_TICKS = 20 * RETRY_TICKS
 MAX_STEP_BYTES = 1_000  # encoded changes of one step, which must fit in one datagram
 MAX_PENDING_CHANGES = 400  # changes that wait for the current step to be agreed
 
@@ -268,11 +270,21 @@
         self.fetch = ChunkFetch(
             self.host, replica, self.fence, RETRY_TICKS, self._on_fetched, stamp
         )
-        self._call_later(self._on_fetch_timeout, MAX_FETCH_TICKS)
+        self._watch_fetch(known_chunk_count=0)
 
-    def _on_fetch_timeout(self) -> None:
-        """Ask all replicas again, since the replica fetched from has not sent its whole plan."""
-        if self.state == ProposerState.FETCHING and self.fetch is not None:
+    def _watch_fetch(self, known_chunk_count: int) -> None:
+        """Check later whether the fetch still has `known_chunk_count` chunks."""
+        method = functools.partial(self._on_fetch_timeout, known_chunk_count)
+        self._call_later(method, MAX_FETCH_SILENCE_TICKS)
+
+    def _on_fetch_timeout(self, known_chunk_count: int) -> None:
+        """Ask all replicas again, unless the replica fetched from still sends its plan."""
+        if self.state != ProposerState.FETCHING or self.fetch is None:
+            return
+        chunk_count = len(self.fetch.chunks)
+        if chunk_count != known_chunk_count:  # fewer: the source has changed its plan
+            self._watch_fetch(chunk_count)
+        else:
             self.fetch.cancel()
             self.state = ProposerState.TAKING_OVER
             self.promises = {}
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -27,6 +27,7 @@
 from corkgauge.model.plan_consensus import PlanWorld, draw_plan_scenario
 
 REQUEST_CHANGE = ["ask", ["a", "engine", ["e1"], "ada", "", 9, 5, 1, "", 0]]
+PROMISE_OF_A_PLAN = [MessageKind.PROMISE, 7, 5, 1, False]
 UNIT_CHANGE = ["unit", "e1", "a", "engine", ["e1"]]
 
 
@@ -233,6 +234,36 @@
 # Plan proposers.
 
 
+# A fetch of over 2 s was begun anew, and each answer later than 0.1 s caused several requests.
+@pytest.mark.parametrize("delay_ticks", [100, 4_000])
+def test_proposer_takes_over_a_long_plan_from_a_slow_replica(delay_ticks):
+    host, plan = FakeHost(), Plan()
+    engines = [f"engine-{number:028}" for number in range(8)]
+    for number in range(200):
+        request_id = f"request-{number}"
+        plan.apply([["ask", [request_id, "engine", engines, "ada", "", 9, 5, 1, "", 0]]])
+    _, replica = new_replica([5, [5, 1], plan.packed()])
+    proposer = PlanProposer(host)
+    proposer.on_lease_gained(7)
+    fetch_count = 0
+    for _ in range(1_000):
+        sent, host.sent = host.sent, []
+        host.advance(100)
+        for name, body in sent:
+            if body[0] == MessageKind.PREPARE:
+                host.call_later(100, proposer.on_datagram, name, [*PROMISE_OF_A_PLAN])
+            elif body[0] == MessageKind.FETCH:
+                fetch_count += 1
+                assert fetch_count < len(plan.packed()) // CHUNK_BYTES
+                replica.host.sent = []
+                replica.on_datagram("h", body)
+                for _, chunk in replica.host.sent:
+                    host.call_later(delay_ticks, proposer.on_chunk_datagram, name, chunk)
+    assert len(plan.packed()) > 40 * CHUNK_BYTES
+    assert proposer.state == ProposerState.LEADING
+    assert len(proposer.plan.requests) == 200
+
+
 def leading_proposer(host=None):
     host = host or FakeHost()
     proposer = PlanProposer(host)
