--- a/corkgauge/eventloop/connection.py
+++ b/corkgauge/eventloop/connection.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-import errno
 import socket
 from typing import Any, Protocol
 
@@ -14,6 +13,7 @@
 from corkgauge.eventloop.dismissal import Dismissal
 from corkgauge.eventloop.frame_time_limit import FrameTimeLimit
 from corkgauge.eventloop.hidden_end import HiddenEnd
+from corkgauge.eventloop.lingering import RETRYABLE_ERRNOS, linger
 from corkgauge.eventloop.loop import BROKEN, GONE, READ, WRITE, EventLoop
 from corkgauge.eventloop.ring_buffer import RingBuffer
 
@@ -28,9 +28,7 @@
 # Time for which input that the peer sent before it noticed the close is still read and discarded.
 IN_TRANSIT_TICKS = 500
 MAX_READS_PER_CHECK = 8  # bounds a check of whether a peer that writes without pause is connected
-DISCARD_BUFFER = bytearray(65_536)  # shared by all closing connections for input to discard
 NEVER = 2**62  # a time in ticks that no clock reaches
-RETRYABLE_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 
 
 class ProtocolMachine(Protocol):
@@ -114,7 +112,7 @@
                 self._run_once()
                 self._close_if_dismissed()
             if self.is_lingering:
-                self._linger()
+                linger(self)
         except Exception as problem:
             self.close_reason = f"{type(problem).__name__}: {problem}"
             self.event_loop.on_exception()
@@ -418,33 +416,3 @@
         """End the time that the peer has for reading the last output."""
         self.is_lingering = False
         self.event_loop.wake(self.fd)
-
-    def _linger(self) -> None:
-        """Write the remaining output, shut down writing, and discard input.
-
-        Ends when the peer closes or the time limit has passed.
-
-        Closing a socket with unread input resets the connection, which would discard the last
-        output before the peer reads it.
-        """
-        ring = self.machine.outward
-        deadline = self.event_loop.now + self.linger_ticks
-        is_shut = False
-        while self.is_lingering and self.event_loop.now < deadline:
-            try:
-                while len(ring):
-                    size = self.sock.send(ring.readable_view())
-                    self.bytes_sent += size
-                    ring.drop(size)
-                if not is_shut:
-                    self.sock.shutdown(socket.SHUT_WR)
-                    is_shut = True
-                if not self.sock.recv_into(DISCARD_BUFFER):
-                    return
-                # Lets other tasks run; a peer that sends without pause would block them.
-                self.event_loop.sleep(1)
-            except OSError as problem:
-                if problem.errno not in RETRYABLE_ERRNOS:
-                    return
-                mask = READ | WRITE if len(ring) else READ
-                self.event_loop.wait(self.fd, mask, deadline)
