An attempt asks the kernel for unread bytes only if there may be some

Cause: before each attempt a system call counted the unread bytes of its client, though the check directly before it had just seen none.

--- a/corkgauge/eventloop/connection.py
+++ b/corkgauge/eventloop/connection.py
@@ -92,11 +92,13 @@
         self.is_flush_scheduled = False  # `flush` is one of the loop's deferred callbacks
 
         # Time limit for one frame.
+        self.has_frame_limit = frame_timeout_ticks > 0
         self.frame_limit = FrameTimeLimit(frame_timeout_ticks, event_loop.now, frame_progress_bytes)
         self.peer_is_client = peer_is_client
         self.paused_since = NEVER  # tick since which no input is read for lack of memory
         self.unread_input = UnreadInput(event_loop, sock)
         self.hidden_end = HiddenEnd(event_loop, sock)
+        self.input_drained_at = NEVER  # tick of the last check that found no unread input
 
         # Byte counts of the connection, and the times of its last read and write.
         self.bytes_queued = 0
@@ -155,7 +157,7 @@
 
     def _is_mid_frame(self) -> bool:
         """Return whether the time limit for receiving one frame is running."""
-        return bool(self.frame_limit.limit_ticks) and (
+        return self.has_frame_limit and (
             self.has_partial_frame()
             or (self.peer_is_client and not self.machine.complete_frame_count)
         )
@@ -223,6 +225,7 @@
             if self.close_reason or self.is_parsing:
                 break
             (events,) = self.event_loop.poll_now(self.fd)
+            self.input_drained_at = NEVER if events & READ else self.event_loop.now
             if events & (GONE | BROKEN):
                 self.close("closed")
             elif events & READ and self.machine.inward.free_bytes:
@@ -239,7 +242,13 @@
         The kernel reports an end only once all input before it has arrived, and a full receive
         buffer keeps that back at the peer.
         """
-        return not self.close_reason and self.hidden_end.is_possible(self.bytes_received)
+        if self.close_reason:
+            return False
+        # A check in this tick has seen no unread input; asking the kernel again costs a call.
+        is_drained = self.input_drained_at == self.event_loop.now
+        if is_drained and not self.hidden_end.is_suspected:
+            return False
+        return self.hidden_end.is_possible(self.bytes_received)
 
     def _parse_input(self) -> None:
         """Run the machine on the input; each complete frame restarts the time limit."""
@@ -286,7 +295,8 @@
             self.bytes_received += size
             if not self._is_mid_frame():
                 self.frame_limit.restart(self.event_loop.now, self.bytes_received)
-            self.frame_limit.on_bytes_received(self.event_loop.now, self.bytes_received)
+            else:
+                self.frame_limit.on_bytes_received(self.event_loop.now, self.bytes_received)
             ring.mark_written(size)
             self._parse_input()
             if self.close_reason or self.unread_input.is_drained:
--- a/corkgauge/eventloop/hidden_end.py
+++ b/corkgauge/eventloop/hidden_end.py
@@ -30,6 +30,11 @@
         self._possible_at: int | None = None  # tick of the last check that found an end possible
         self._arrived_bytes = 0  # bytes that had arrived then, read or unread
 
+    @property
+    def is_suspected(self) -> bool:
+        """Whether an end was possible at the last check."""
+        return self._possible_at is not None
+
     def on_resumed(self, bytes_received: int) -> None:
         """Note that the connection is read again after a pause."""
         self._set_possible(bytes_received + unread_byte_count(self._sock))
