A copy of the plan is fetched from the next leader soon after one that has gone

Cause: the pauses that grow since held for copies too, which end after 40 requests: a fetch from a leader that had gone kept out its successor for some 60 s, where it was 4 s.

Change: the pauses of a copy stay at 0.1 s. Found in reading; the test failed before.

--- a/corkgauge/maintenance/chunk_transfer.py
+++ b/corkgauge/maintenance/chunk_transfer.py
@@ -65,6 +65,7 @@
         retry_ticks: int,
         on_complete: Callable[[Stamp, bytes], None],
         min_stamp: Stamp = (0, 0),
+        max_retry_factor: int = MAX_RETRY_FACTOR,
     ) -> None:
         self.host = host
         self.source = source
@@ -76,6 +77,7 @@
         self.count = 1
         self.chunks: dict[int, bytes] = {}
         self.is_finished = False
+        self.max_retry_factor = max_retry_factor
         self.retry_factor = 1  # of the pause before the request is repeated
         self.requested: set[int] = set()  # indexes of the last request
         self.request_serial = 0  # of the last request; retry timers of earlier requests do nothing
@@ -128,5 +130,5 @@
 
     def _retry(self, serial: int) -> None:
         if serial == self.request_serial:
-            self.retry_factor = min(2 * self.retry_factor, MAX_RETRY_FACTOR)
+            self.retry_factor = min(2 * self.retry_factor, self.max_retry_factor)
             self._request_missing()
--- a/corkgauge/maintenance/plan_copy.py
+++ b/corkgauge/maintenance/plan_copy.py
@@ -48,8 +48,14 @@
     def fetch_from(self, leader: str) -> None:
         """Start to fetch the leader's plan, unless a fetch is running."""
         if self.fetch is None or self.fetch.is_finished:
+            # With longer pauses, a fetch from a leader that has gone would keep out its successor.
             self.fetch = ChunkFetch(
-                _LimitedSender(self), leader, 0, COPY_RETRY_TICKS, self._on_fetched
+                _LimitedSender(self),
+                leader,
+                0,
+                COPY_RETRY_TICKS,
+                self._on_fetched,
+                max_retry_factor=1,
             )
 
     def on_chunk(self, sender: str, chunk: Chunk) -> None:
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -19,6 +19,7 @@
 from corkgauge.maintenance.messages import Orders
 from corkgauge.maintenance.participant import Participant
 from corkgauge.maintenance.plan import InvalidChangeError, Plan
+from corkgauge.maintenance.plan_copy import COPY_RETRY_TICKS, MAX_FETCH_DATAGRAMS, PlanCopier
 from corkgauge.maintenance.plan_messages import Chunk, MessageKind
 from corkgauge.maintenance.plan_proposer import PlanProposer, ProposerState
 from corkgauge.maintenance.plan_records import NEXT_STATES, UnitState
@@ -231,6 +232,17 @@
     assert completed == [((5, 2), new)]
 
 
+# With growing pauses, a fetch from a leader that had gone kept out the next leader for a minute.
+def test_copy_is_fetched_from_the_next_leader_soon_after_one_that_never_answers():
+    host = FakeHost()
+    host.send_copy = host.send
+    copier = PlanCopier(host)
+    copier.fetch_from("gone")
+    host.advance((MAX_FETCH_DATAGRAMS + 1) * COPY_RETRY_TICKS)
+    copier.fetch_from("next")
+    assert host.sent[-1][0] == "next"
+
+
 # Plan proposers.
 
 
